--- /dev/null
+++ b/kingcupspan/src/command/ask.rs
@@ -0,0 +1,137 @@
+//! `dump`, `usage` and `drain`: questions to a running daemon.
+
+use std::net;
+
+use async_std::task;
+use http_types::Method;
+use kingcupspan_core::{
+    id::CallerId,
+    usage::{Account, Cost},
+};
+use serde_json::Value;
+
+use crate::{
+    command::EXIT_FAILED,
+    edge::client::{Client, Outgoing, SendError},
+};
+
+/// Largest answer that is accepted, in bytes.
+const ANSWER_MAX_BYTES: usize = 1 << 30;
+
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+fn ask(method: Method, daemon: net::SocketAddr, path: &str) -> Result<Answer, SendError> {
+    task::block_on(async {
+        let client = Client::default();
+        let reply = client.send(Outgoing::new(method, daemon, path)).await?;
+        let status = reply.status;
+        let body = reply.bytes(ANSWER_MAX_BYTES).await?;
+        Ok(Answer { status, body })
+    })
+}
+
+fn print_or_fail(answer: Result<Answer, SendError>, print: impl FnOnce(&[u8]) -> u8) -> u8 {
+    match answer {
+        Ok(answer) if answer.status < 300 => print(&answer.body),
+        Ok(answer) => {
+            eprintln!(
+                "the daemon refused: {}",
+                String::from_utf8_lossy(&answer.body)
+            );
+            EXIT_FAILED
+        }
+        Err(e) => {
+            eprintln!("{e}; is this the daemon's address for operators?");
+            EXIT_FAILED
+        }
+    }
+}
+
+/// Shows the state of a process.
+pub fn dump(daemon: net::SocketAddr, section: Option<&str>) -> u8 {
+    let path = match section {
+        Some(section) => format!("/dump/{section}"),
+        None => "/dump".to_owned(),
+    };
+    print_or_fail(ask(Method::Get, daemon, &path), |body| {
+        let value: Value = serde_json::from_slice(body).unwrap_or_default();
+        println!("{value:#}");
+        0
+    })
+}
+
+/// Asks for a planned stop.
+pub fn drain(daemon: net::SocketAddr) -> u8 {
+    print_or_fail(ask(Method::Post, daemon, "/drain"), |_| {
+        println!("the planned stop has begun");
+        0
+    })
+}
+
+/// Shows who used what.
+pub fn usage(daemon: net::SocketAddr, caller: Option<&CallerId>, json: bool) -> u8 {
+    print_or_fail(ask(Method::Get, daemon, "/usage"), |body| {
+        let account: Result<Account, _> = serde_json::from_slice(body);
+        let Ok(mut account) = account else {
+            eprintln!("the daemon's account cannot be read");
+            return EXIT_FAILED;
+        };
+        account
+            .0
+            .retain(|key, _| caller.is_none_or(|c| key.caller == *c));
+        match json {
+            true => println!("{:#}", serde_json::json!(account)),
+            false => print!("{}", table(&account)),
+        }
+        0
+    })
+}
+
+/// The account as a table.
+pub fn table(account: &Account) -> String {
+    let mut table = String::new();
+    let heads = [
+        "caller/workspace",
+        "calls",
+        "unknown",
+        "prompt",
+        "cached",
+        "again",
+        "decoded",
+        "runner_ms",
+        "waited_ms",
+        "retries",
+    ];
+    table.push_str(&line(&heads.map(str::to_owned)));
+    let mut total = Cost::default();
+    for (key, cost) in &account.0 {
+        total += *cost;
+        table.push_str(&row(&key.to_string(), cost));
+    }
+    table.push_str(&row("total", &total));
+    table
+}
+
+fn row(name: &str, cost: &Cost) -> String {
+    line(&[
+        name.to_owned(),
+        cost.calls.to_string(),
+        cost.unknown.to_string(),
+        cost.prompt_tokens.to_string(),
+        cost.cached_tokens.to_string(),
+        cost.recomputed_tokens.to_string(),
+        cost.decoded_tokens.to_string(),
+        cost.runner_ms.to_string(),
+        cost.waited_ms.to_string(),
+        cost.retries.to_string(),
+    ])
+}
+
+fn line(cells: &[String; 10]) -> String {
+    let (name, rest) = cells.split_at(1);
+    let rest: Vec<String> = rest.iter().map(|c| format!("{c:>10}")).collect();
+    format!("{:<32}{}\n", name[0], rest.join(" "))
+}
--- /dev/null
+++ b/kingcupspan/src/command/check.rs
@@ -0,0 +1,85 @@
+//! `check`: findings in files with settings or configuration.
+
+use std::{fs, path};
+
+use kingcupspan_config::{configuration::Configuration, finding::Findings, settings::Settings};
+use serde_json::Value;
+
+use crate::command::{EXIT_FAILED, EXIT_FINDINGS};
+
+/// Why a file is not usable.
+#[derive(Debug, thiserror::Error)]
+pub enum FileError {
+    /// It cannot be read.
+    #[error("cannot be read: {0}")]
+    Io(#[from] std::io::Error),
+
+    /// It is not JSON.
+    #[error("/: not JSON: {0}")]
+    Json(#[from] serde_json::Error),
+
+    /// Its content has findings.
+    #[error("{0}")]
+    Findings(#[from] Findings),
+}
+
+/// Reads a JSON file.
+pub fn read(file: &path::Path) -> Result<Value, FileError> {
+    let text = fs::read_to_string(file)?;
+    Ok(serde_json::from_str(&text)?)
+}
+
+/// Reads and checks a file with settings.
+pub fn read_settings(file: &path::Path) -> Result<Settings, FileError> {
+    Ok(Settings::try_from(&read(file)?)?)
+}
+
+/// Reads and checks a file with a configuration.
+pub fn read_configuration(file: &path::Path) -> Result<(Value, Configuration), FileError> {
+    let value = read(file)?;
+    let configuration = Configuration::try_from(&value)?;
+    Ok((value, configuration))
+}
+
+/// Prints an error, one line per finding, and returns the exit code that goes with it.
+pub fn report(file: &path::Path, error: &FileError) -> u8 {
+    let name = file.display();
+    match error {
+        FileError::Io(_) => {
+            eprintln!("{name}: {error}");
+            EXIT_FAILED
+        }
+        FileError::Json(_) => {
+            eprintln!("{name}:{error}");
+            EXIT_FINDINGS
+        }
+        FileError::Findings(findings) => {
+            for finding in &findings.0 {
+                eprintln!("{name}:{finding}");
+            }
+            EXIT_FINDINGS
+        }
+    }
+}
+
+/// Checks files; settings are told from a configuration by their `vm`.
+pub fn run(files: &[path::PathBuf]) -> u8 {
+    let mut worst = 0;
+    for file in files {
+        match check(file) {
+            Ok(what) => println!("{}: {what}, no findings", file.display()),
+            Err(e) => worst = worst.max(report(file, &e)),
+        }
+    }
+    worst
+}
+
+fn check(file: &path::Path) -> Result<&'static str, FileError> {
+    let value = read(file)?;
+    if value.get("vm").is_some() || value.get("listen").is_some() {
+        Settings::try_from(&value)?;
+        return Ok("settings");
+    }
+    Configuration::try_from(&value)?;
+    Ok("configuration")
+}
--- /dev/null
+++ b/kingcupspan/src/command/mod.rs
@@ -0,0 +1,37 @@
+//! The commands.
+
+pub mod ask;
+pub mod check;
+pub mod daemon;
+pub mod publish;
+
+use std::process;
+
+use crate::cli::Options;
+
+/// Exit code of a command whose input is at fault.
+pub const EXIT_FINDINGS: u8 = 1;
+
+/// Exit code of a command that could not do its work.
+pub const EXIT_FAILED: u8 = 2;
+
+/// Runs a command.
+pub fn run(options: Options) -> process::ExitCode {
+    let code = match options {
+        Options::Daemon { settings } => daemon::run(&settings),
+        Options::Check { files } => check::run(&files),
+        Options::Publish {
+            settings,
+            base,
+            config,
+        } => publish::run(&settings, base, &config),
+        Options::Dump { daemon, section } => ask::dump(daemon, section.as_deref()),
+        Options::Usage {
+            daemon,
+            caller,
+            json,
+        } => ask::usage(daemon, caller.as_ref(), json),
+        Options::Drain { daemon } => ask::drain(daemon),
+    };
+    process::ExitCode::from(code)
+}
--- /dev/null
+++ b/kingcupspan/src/controller/endpoints.rs
@@ -0,0 +1,136 @@
+//! Endpoints: what is known of their health, and where calls are placed.
+
+use std::{collections::HashMap, sync::atomic};
+
+use kingcupspan_config::endpoint::{Endpoint, Serves};
+use kingcupspan_core::{
+    id::{CallerId, EndpointId, MonoMs},
+    placement::{self, Health, Need, Place, Policy},
+    retry::RetryBudget,
+};
+
+use crate::{daemon::Daemon, edge::peer::EndpointLoad};
+
+/// Extra cost of an endpoint in another failure domain, in seconds.
+const OTHER_DOMAIN_S: f64 = 0.002;
+
+/// Health of endpoints as this daemon sees it.
+#[derive(Default)]
+pub struct State {
+    health: parking_lot::Mutex<HashMap<EndpointId, Health>>,
+    retries: parking_lot::Mutex<HashMap<CallerId, RetryBudget>>,
+    turn_of: atomic::AtomicU64,
+    policy: parking_lot::Mutex<Policy>,
+}
+
+impl State {
+    /// Takes over loads that homes tell.
+    pub fn told(&self, loads: &[EndpointLoad]) {
+        let mut health = self.health.lock();
+        for told in loads {
+            let known = health.entry(told.endpoint.clone()).or_default();
+            known.told(told.load);
+        }
+    }
+
+    /// Changes how calls are placed.
+    pub fn set_policy(&self, policy: Policy) {
+        *self.policy.lock() = policy;
+    }
+
+    /// Notes that an endpoint could not be reached.
+    pub fn failed(&self, endpoint: &EndpointId, now: MonoMs) {
+        let mut health = self.health.lock();
+        health.entry(endpoint.clone()).or_default().failed(now);
+    }
+
+    /// Notes a whole answer.
+    pub fn answered(
+        &self,
+        endpoint: &EndpointId,
+        prompt_rate: Option<f64>,
+        decode_rate: Option<f64>,
+    ) {
+        let mut health = self.health.lock();
+        let known = health.entry(endpoint.clone()).or_default();
+        known.answered(prompt_rate, decode_rate);
+    }
+
+    /// Notes a call by its caller's retry budget.
+    pub fn earn_retries(&self, caller: &CallerId, percent: u64) {
+        let mut retries = self.retries.lock();
+        retries.entry(caller.clone()).or_default().earn(percent);
+    }
+
+    /// Takes a retry from the caller's budget, if there is one.
+    pub fn spend_retry(&self, caller: &CallerId) -> bool {
+        let mut retries = self.retries.lock();
+        retries.entry(caller.clone()).or_default().spend()
+    }
+
+    /// What is known of each endpoint, for the dump.
+    pub fn summary(&self) -> Vec<(EndpointId, Health)> {
+        let health = self.health.lock();
+        let mut all: Vec<_> = health.iter().map(|(e, h)| (e.clone(), h.clone())).collect();
+        all.sort_by(|a, b| a.0.cmp(&b.0));
+        all
+    }
+}
+
+/// Chooses the endpoint for a call, leaving out those in `tried` if others remain.
+pub fn place(
+    daemon: &Daemon,
+    serves: &Serves,
+    need: &Need,
+    tried: &[EndpointId],
+) -> Option<Endpoint> {
+    let configuration = daemon.configuration.get().configuration;
+    let candidates: Vec<&Endpoint> = configuration
+        .endpoints
+        .iter()
+        .filter(|e| e.serves == *serves && daemon.membership.is_live(&e.vm))
+        .collect();
+    let untried: Vec<&Endpoint> = candidates
+        .iter()
+        .filter(|e| !tried.contains(&e.endpoint))
+        .copied()
+        .collect();
+    let candidates = match untried.is_empty() {
+        true => candidates,
+        false => untried,
+    };
+    let chosen = choose(daemon, &candidates, need)?;
+    configuration.endpoint(&chosen).cloned()
+}
+
+fn choose(daemon: &Daemon, candidates: &[&Endpoint], need: &Need) -> Option<EndpointId> {
+    let state = &daemon.endpoints;
+    state.told(&daemon.grants.loads());
+    let turn_of = state.turn_of.fetch_add(1, atomic::Ordering::Relaxed);
+    let policy = *state.policy.lock();
+    let mut health = state.health.lock();
+    for endpoint in candidates {
+        let known = health.entry(endpoint.endpoint.clone()).or_default();
+        if known.load.limit == 0 {
+            known.load.limit = endpoint.slots;
+        }
+    }
+    let unknown = Health::default();
+    let places: Vec<Place<'_>> = candidates
+        .iter()
+        .map(|e| Place {
+            endpoint: &e.endpoint,
+            health: health.get(&e.endpoint).unwrap_or(&unknown),
+            distance_s: match e.failure_domain == daemon.settings.failure_domain {
+                true => 0.0,
+                false => OTHER_DOMAIN_S,
+            },
+        })
+        .collect();
+    let chosen = placement::choose(policy, &places, need, turn_of, daemon.clock.mono());
+    let chosen = chosen.cloned()?;
+    if let Some(known) = health.get_mut(&chosen) {
+        known.placed_since += 1;
+    }
+    Some(chosen)
+}
--- /dev/null
+++ b/kingcupspan/src/controller/mod.rs
@@ -0,0 +1,13 @@
+//! Controllers: each keeps one part of the state in line with the world.
+
+pub mod cache;
+pub mod configuration;
+pub mod drain;
+pub mod endpoints;
+pub mod grants;
+pub mod leases;
+pub mod log_health;
+pub mod membership;
+pub mod pacer;
+pub mod quarantine;
+pub mod slots;
--- /dev/null
+++ b/kingcupspan/src/daemon.rs
@@ -0,0 +1,174 @@
+//! The daemon: shared state and the tasks that work on it.
+
+use std::{io, sync::Arc};
+
+use async_std::{net::TcpListener, task};
+use kingcupspan_config::settings::Settings;
+use kingcupspan_core::id::{Slot, Writer};
+
+use crate::{
+    clock::Clock,
+    controller::{
+        cache, configuration, drain, endpoints, grants, leases, log_health, membership, pacer,
+        quarantine, slots,
+    },
+    edge::{client, platform, server},
+    filter, metrics, operators, peers,
+};
+
+/// State shared by all tasks of a daemon.
+pub struct Daemon {
+    /// Settings of the process.
+    pub settings: Settings,
+
+    /// This incarnation.
+    pub writer: Writer,
+
+    /// Clocks.
+    pub clock: Clock,
+
+    /// Sends requests to endpoints and peers.
+    pub client: client::Client,
+
+    /// The platform's log.
+    pub log: Box<dyn platform::Log>,
+
+    /// The platform's list of VMs.
+    pub vm_list: Box<dyn platform::VmList>,
+
+    /// The configuration in force.
+    pub configuration: configuration::State,
+
+    /// Who is alive.
+    pub membership: membership::State,
+
+    /// Slots and their programs.
+    pub slots: Vec<slots::Cell>,
+
+    /// Whether the log answers.
+    pub log_health: log_health::LogHealth,
+
+    /// Paces appends to the log.
+    pub pacer: pacer::Pacer,
+
+    /// Health of endpoints and placement of calls.
+    pub endpoints: endpoints::State,
+
+    /// Queues of the endpoints that this daemon is home to.
+    pub grants: grants::State,
+
+    /// Requests that crash endpoints.
+    pub quarantine: quarantine::State,
+
+    /// Engine memory to be let go.
+    pub cache: cache::State,
+
+    /// The planned stop.
+    pub drain: drain::State,
+
+    /// Metrics.
+    pub metrics: metrics::Metrics,
+
+    /// Callers' requests under way.
+    pub gauge: Arc<server::Gauge>,
+}
+
+/// Listeners of a daemon, opened before its tasks start.
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+
+    /// For other daemons.
+    pub peers: TcpListener,
+
+    /// For operators.
+    pub operators: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners that the settings name.
+    pub async fn bind(settings: &Settings) -> io::Result<Self> {
+        Ok(Self {
+            callers: server::bind(settings.listen.callers).await?,
+            peers: server::bind(settings.listen.peers).await?,
+            operators: server::bind(settings.listen.operators).await?,
+        })
+    }
+}
+
+impl Daemon {
+    /// A daemon that has not begun to work.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let clock = Clock::default();
+        let writer = Writer {
+            vm: settings.vm.clone(),
+            incarnation: rand::random(),
+        };
+        let client = client::Client::default();
+        let platform = &settings.platform;
+        let log = platform::HttpLog {
+            client: client.clone(),
+            addr: platform.log,
+        };
+        let vm_list = platform::HttpVmList {
+            client: client.clone(),
+            addr: platform.vms,
+        };
+        let slots = (0..settings.slots).map(|n| slots::Cell::new(Slot(n)));
+        Arc::new(Self {
+            slots: slots.collect(),
+            log_health: log_health::LogHealth::default(),
+            pacer: pacer::Pacer::new(platform.appends_per_second),
+            membership: membership::State::new(&settings, &writer, clock.mono()),
+            configuration: configuration::State::default(),
+            endpoints: endpoints::State::default(),
+            grants: grants::State::default(),
+            quarantine: quarantine::State::default(),
+            cache: cache::State::default(),
+            drain: drain::State::default(),
+            metrics: metrics::Metrics::new(),
+            gauge: Arc::default(),
+            log: Box::new(log),
+            vm_list: Box::new(vm_list),
+            client,
+            clock,
+            writer,
+            settings,
+        })
+    }
+
+    /// The cell of a slot, if there is such a slot.
+    pub fn slot(&self, slot: Slot) -> Option<&slots::Cell> {
+        self.slots.get(usize::from(slot.0))
+    }
+}
+
+/// Works until a planned stop has ended.
+pub async fn run(daemon: Arc<Daemon>, listeners: Listeners) {
+    log::info!(
+        vm = daemon.settings.vm.as_str(),
+        failure_domain = daemon.settings.failure_domain.as_str(),
+        incarnation = daemon.writer.incarnation;
+        "daemon starts"
+    );
+    let tasks = vec![
+        task::spawn(configuration::follow(Arc::clone(&daemon))),
+        task::spawn(configuration::catch_up_from_peers(Arc::clone(&daemon))),
+        task::spawn(configuration::keep_alive(Arc::clone(&daemon))),
+        task::spawn(membership::follow_vm_list(Arc::clone(&daemon))),
+        task::spawn(membership::beat(Arc::clone(&daemon))),
+        task::spawn(leases::tend(Arc::clone(&daemon))),
+        task::spawn(grants::tend(Arc::clone(&daemon))),
+        task::spawn(quarantine::follow(Arc::clone(&daemon))),
+        task::spawn(cache::tend(Arc::clone(&daemon))),
+        task::spawn(slots::tend(Arc::clone(&daemon))),
+        task::spawn(peers::serve(Arc::clone(&daemon), listeners.peers)),
+        task::spawn(operators::serve(Arc::clone(&daemon), listeners.operators)),
+    ];
+    let callers = task::spawn(filter::serve(Arc::clone(&daemon), listeners.callers));
+    drain::wait(&daemon, callers).await;
+    for running in tasks {
+        running.cancel().await;
+    }
+    log::info!(vm = daemon.settings.vm.as_str(); "daemon stopped");
+}
--- /dev/null
+++ b/kingcupspan/src/filter/mod.rs
@@ -0,0 +1,148 @@
+//! The filter chain that every request of a caller passes.
+//!
+//! At the daemon that a request enters: authenticate, limits, route. At the
+//! owner of its program: order, budget, place, send, account.
+
+pub mod account;
+pub mod authenticate;
+pub mod budget;
+pub mod limits;
+pub mod order;
+pub mod place;
+pub mod program;
+pub mod request;
+pub mod route;
+pub mod send;
+pub mod turn;
+
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use http_types::Response;
+use kingcupspan_config::{caller::Caller, limits::Limits};
+use kingcupspan_core::id::MonoMs;
+
+use crate::{
+    controller::configuration::Checked,
+    daemon::Daemon,
+    edge::{
+        peer,
+        problem::{Kind, Problem},
+        server::{self, Exchange},
+    },
+};
+
+/// A request on its way through the entry daemon.
+pub struct Cx {
+    /// The daemon.
+    pub daemon: Arc<Daemon>,
+
+    /// The request.
+    pub exchange: Exchange,
+
+    /// The configuration that decides on it.
+    pub checked: Checked,
+
+    /// When it arrived.
+    pub arrived: MonoMs,
+
+    /// Who sent it, once known.
+    pub caller: Option<Caller>,
+
+    /// The limits that hold for it.
+    pub limits: Limits,
+
+    /// What it asks, once read.
+    pub call: Option<peer::Call>,
+
+    /// The answer.
+    pub response: Option<Response>,
+}
+
+/// A step of the chain at the entry daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Filter {
+    /// Who sends the request?
+    Authenticate,
+
+    /// Is it well-formed and within its bounds?
+    Limits,
+
+    /// Which daemon owns its program?
+    Route,
+}
+
+/// The chain at the entry daemon.
+pub const ENTRY: [Filter; 3] = [Filter::Authenticate, Filter::Limits, Filter::Route];
+
+impl Filter {
+    async fn run(self, cx: &mut Cx) -> Result<(), Problem> {
+        match self {
+            Self::Authenticate => authenticate::run(cx),
+            Self::Limits => limits::run(cx).await,
+            Self::Route => route::run(cx).await,
+        }
+    }
+}
+
+/// Serves callers.
+pub async fn serve(daemon: Arc<Daemon>, listener: TcpListener) {
+    let gauge = Arc::clone(&daemon.gauge);
+    server::serve(listener, gauge, move |exchange| {
+        handle(Arc::clone(&daemon), exchange)
+    })
+    .await;
+}
+
+async fn handle(daemon: Arc<Daemon>, exchange: Exchange) -> Response {
+    let checked = daemon.configuration.get();
+    let mut cx = Cx {
+        arrived: daemon.clock.mono(),
+        limits: checked.configuration.defaults.clone(),
+        checked,
+        daemon,
+        exchange,
+        caller: None,
+        call: None,
+        response: None,
+    };
+    let result = pass(&mut cx).await;
+    let name = cx.caller.as_ref().map_or("-", |c| c.caller.as_str());
+    match result {
+        Ok(response) => {
+            let outcome = u16::from(response.status()).to_string();
+            cx.daemon.metrics.request(name, &outcome);
+            response
+        }
+        Err(problem) => {
+            cx.daemon.metrics.request(name, &problem.kind.to_string());
+            log_problem(&cx, name, &problem);
+            problem.response()
+        }
+    }
+}
+
+async fn pass(cx: &mut Cx) -> Result<Response, Problem> {
+    let under_way = cx.daemon.gauge.requests() as u64;
+    if under_way > cx.daemon.settings.calls_at_once {
+        let problem = Problem::not_run(Kind::Unavailable, "this daemon has too many requests");
+        return Err(problem.retry_after(1));
+    }
+    for filter in ENTRY {
+        filter.run(cx).await?;
+    }
+    let missing = || Problem::not_run(Kind::NotFound, "no such resource");
+    cx.response.take().ok_or_else(missing)
+}
+
+fn log_problem(cx: &Cx, caller: &str, problem: &Problem) {
+    let program = cx.call.as_ref().map(|c| c.program.to_string());
+    log::info!(
+        caller = caller,
+        program = program.as_deref().unwrap_or("-"),
+        kind = problem.kind.to_string().as_str(),
+        ran = problem.ran.to_string().as_str(),
+        detail = problem.detail.as_str();
+        "request refused"
+    );
+}
--- /dev/null
+++ b/kingcupspan/src/filter/place.rs
@@ -0,0 +1,147 @@
+//! Place: choose an endpoint and wait for a place there.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use kingcupspan_core::{
+    digest::Digest, fair, id::EndpointId, placement::Need, quarantine::Standing,
+};
+
+use crate::{
+    controller::{endpoints, grants},
+    edge::{
+        peer::{Grant, Granted, Target},
+        problem::{Kind, Problem},
+    },
+    filter::turn::TurnCx,
+};
+
+/// Pause before another endpoint or home is tried.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Cost of a service call in tokens, until services report their own.
+const SERVICE_COST_TOKENS: u64 = 100;
+
+/// Digest of what the endpoint is asked, whoever asks.
+pub fn fingerprint(cx: &TurnCx) -> Digest {
+    match &cx.ask.target {
+        Target::Model {
+            model, messages, ..
+        } => Digest::of(model.as_str().as_bytes()).chain(messages.as_bytes()),
+        Target::Service { service, path, .. } => Digest::of(service.as_str().as_bytes())
+            .chain(path.as_bytes())
+            .chain(&cx.ask.body),
+    }
+}
+
+/// Acquires a place, preferring endpoints that are not in `tried`.
+pub async fn run(cx: &mut TurnCx, tried: &[EndpointId]) -> Result<(), Problem> {
+    let begun = cx.daemon.clock.mono();
+    loop {
+        let suspect = standing(cx)?;
+        let need = need(cx);
+        let Some(endpoint) = endpoints::place(&cx.daemon, &cx.serves, &need, tried) else {
+            let detail = "no endpoint serves this now";
+            return Err(Problem::not_run(Kind::Unavailable, detail).retry_after(2));
+        };
+        let request = request(cx, &need, suspect);
+        let ticket = request.ticket.clone();
+        let grant = Grant {
+            endpoint: endpoint.endpoint.clone(),
+            request,
+            patience_ms: cx.left().as_millis() as u64,
+        };
+        match grants::acquire(&cx.daemon, &endpoint, grant).await {
+            Granted::Now => {
+                cx.held = Some(grants::Held { endpoint, ticket });
+                note_wait(cx, begun);
+                return Ok(());
+            }
+            Granted::OverShare { retry_after_ms } => {
+                let detail = format!(
+                    "{} has too many calls waiting at {}",
+                    cx.call.caller, endpoint.endpoint
+                );
+                let problem = Problem::not_run(Kind::OverShare, detail);
+                return Err(problem.retry_after(retry_after_ms.div_ceil(1_000)));
+            }
+            Granted::Elsewhere | Granted::TimedOut => {
+                let daemon = Arc::clone(&cx.daemon);
+                grants::release(&daemon, &endpoint, ticket, 0).await;
+            }
+        }
+        if cx.left() <= PAUSE {
+            let detail = "no place at an endpoint came free in time";
+            return Err(Problem::not_run(Kind::Unavailable, detail).retry_after(1));
+        }
+        task::sleep(PAUSE).await;
+    }
+}
+
+/// Whether the request is a suspect; one in quarantine is refused.
+fn standing(cx: &TurnCx) -> Result<bool, Problem> {
+    let now = cx.daemon.clock.wall();
+    match cx.daemon.quarantine.standing(&fingerprint(cx), now) {
+        Standing::Clear => Ok(false),
+        Standing::Suspect => Ok(true),
+        Standing::Quarantined => {
+            let detail = "endpoints crashed while they ran this request; it is not sent again";
+            Err(Problem::not_run(Kind::Quarantined, detail))
+        }
+    }
+}
+
+fn need(cx: &TurnCx) -> Need {
+    let prefixes = cx.daemon.cache.prefixes(cx.call.program);
+    let new_tokens = match &cx.ask.target {
+        Target::Model { messages, .. } => messages.len() as u64 / 4,
+        Target::Service { .. } => 0,
+    };
+    Need {
+        prompt_tokens: cx.history.tokens + new_tokens,
+        decode_tokens: cx.max_tokens,
+        cached: prefixes.tokens,
+        last: prefixes.last,
+        cache_weight: 1.0,
+    }
+}
+
+fn request(cx: &TurnCx, need: &Need, suspect: bool) -> fair::Request {
+    let cost = match &cx.ask.target {
+        Target::Model { .. } => {
+            let cached = need.cached.values().copied().max().unwrap_or(0);
+            need.prompt_tokens.saturating_sub(cached) + need.decode_tokens
+        }
+        Target::Service { .. } => SERVICE_COST_TOKENS,
+    };
+    let slot = cx.daemon.slot(cx.call.program.slot);
+    let (root, attained) = slot
+        .and_then(|cell| {
+            cell.with_owner(|o| {
+                let root = o.state().root(cx.call.program);
+                let program = o.state().programs.get(&root);
+                (root, program.map_or(0, |p| p.ledger.spent.tokens))
+            })
+        })
+        .unwrap_or((cx.call.program, 0));
+    fair::Request {
+        ticket: fair::Ticket {
+            writer: cx.daemon.writer.clone(),
+            number: cx.daemon.grants.number(),
+        },
+        caller: cx.call.caller.clone(),
+        weight: cx.weight,
+        root,
+        attained,
+        cost: cost.max(1),
+        waiting_max: cx.limits.waiting_calls,
+        suspect,
+    }
+}
+
+fn note_wait(cx: &mut TurnCx, begun: kingcupspan_core::id::MonoMs) {
+    let waited_ms = cx.daemon.clock.mono().since(begun);
+    cx.cost.waited_ms += waited_ms;
+    let seconds = waited_ms as f64 / 1_000.0;
+    cx.daemon.metrics.waited_s.observe(seconds);
+}
--- /dev/null
+++ b/kingcupspan/src/filter/program.rs
@@ -0,0 +1,235 @@
+//! What a program's owner is asked, other than the steps of a turn.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use http_types::Response;
+use kingcupspan_core::{
+    budget,
+    id::{ProgramId, Turn, WallMs},
+    program::Program,
+    record::{Open, Record, Repeat},
+    slot::Refusal,
+};
+use serde::Serialize;
+
+use crate::{
+    controller::{
+        cache,
+        slots::{Cell, CommitError, Durability, ProposeError},
+    },
+    daemon::Daemon,
+    edge::{
+        peer::{Ask, Call},
+        problem::{Kind, Problem},
+    },
+    filter::turn,
+};
+
+#[derive(Serialize)]
+struct Opened {
+    program: ProgramId,
+}
+
+#[derive(Serialize)]
+struct Inspected {
+    program: ProgramId,
+    turns: usize,
+    next_turn: Turn,
+    history_tokens: u64,
+    history_digest: String,
+    budget_left: budget::Amount,
+    ends_at_ms: WallMs,
+}
+
+/// Serves a call at the owner of its program.
+pub async fn handle(daemon: &Arc<Daemon>, call: Call) -> Result<Response, Problem> {
+    let Some(cell) = daemon.slot(call.program.slot) else {
+        return Err(no_program());
+    };
+    if cell.with_owner(|_| ()).is_none() {
+        return Err(moved());
+    }
+    match call.ask.clone() {
+        Ask::Open {
+            workspace,
+            tokens,
+            calls,
+            seconds,
+            parent,
+        } => {
+            let record = Open {
+                program: call.program,
+                caller: call.caller.clone(),
+                workspace,
+                parent,
+                limit: budget::Amount { tokens, calls },
+                deadline: WallMs(daemon.clock.wall().0 + seconds * 1_000),
+            };
+            open(cell, &call, record).await
+        }
+        Ask::Close => close(daemon, cell, &call).await,
+        Ask::Inspect => inspect(cell, &call),
+        Ask::Stored(n) => stored(cell, &call, n),
+        Ask::Turn(ask) => turn::handle(daemon, call, ask).await,
+    }
+}
+
+/// There is no such program for this caller.
+pub fn no_program() -> Problem {
+    Problem::not_run(Kind::NotFound, "no such program")
+}
+
+/// The slot is owned elsewhere; the entry daemon looks again.
+pub fn moved() -> Problem {
+    Problem::not_run(Kind::Moved, "the slot is owned by another daemon")
+}
+
+/// Why a record was not proposed, as a caller sees it.
+pub fn refusal(e: ProposeError) -> Problem {
+    match e {
+        ProposeError::NotServing | ProposeError::Refused(Refusal::NotOwner) => moved(),
+        ProposeError::Refused(Refusal::NoProgram) => no_program(),
+        ProposeError::Refused(Refusal::Budget) => Problem::not_run(
+            Kind::BudgetExhausted,
+            "the program's budget, or its parent's, does not cover the call",
+        ),
+        ProposeError::Refused(
+            refused @ (Refusal::Exists
+            | Refusal::Order
+            | Refusal::Busy
+            | Refusal::NotStarted
+            | Refusal::KeyReused
+            | Refusal::History),
+        ) => Problem::not_run(Kind::Conflict, refused.to_string()),
+    }
+}
+
+/// Runs `f` on a program of this caller.
+pub fn with_program<R>(
+    cell: &Cell,
+    call: &Call,
+    f: impl FnOnce(&Program) -> R,
+) -> Result<R, Problem> {
+    let found = cell.with_owner(|o| {
+        let program = o.state().programs.get(&call.program);
+        program.filter(|p| p.caller == call.caller).map(f)
+    });
+    found.ok_or_else(moved)?.ok_or_else(no_program)
+}
+
+/// A JSON answer.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response {
+    let mut res = Response::new(status);
+    res.set_body(serde_json::to_vec(value).unwrap_or_default());
+    res.set_content_type(http_types::mime::JSON);
+    res
+}
+
+async fn open(cell: &Cell, call: &Call, record: Open) -> Result<Response, Problem> {
+    if let Some(parent) = record.parent {
+        let parent_call = Call {
+            program: parent,
+            ..call.clone()
+        };
+        with_program(cell, &parent_call, |_| ())?;
+    }
+    let retried = with_program(cell, call, |_| ()).is_ok();
+    if !retried {
+        let proposed = cell.propose(Record::Open(record)).map_err(refusal)?;
+        let patience = Duration::from_millis(call.patience_ms);
+        match cell
+            .commit(proposed, Durability::LogOrCopies, patience)
+            .await
+        {
+            Ok(()) => {}
+            // Opening the same id again is recognised, so the entry daemon may retry.
+            Err(CommitError::Lost) => return Err(moved()),
+            Err(CommitError::TimedOut) => return Err(not_durable()),
+        }
+    }
+    let opened = Opened {
+        program: call.program,
+    };
+    Ok(json(201, &opened))
+}
+
+/// The record may still become durable.
+pub fn not_durable() -> Problem {
+    Problem::unknown("neither the log nor a peer has taken the record in time")
+}
+
+async fn close(daemon: &Arc<Daemon>, cell: &Cell, call: &Call) -> Result<Response, Problem> {
+    let is_running = with_program(cell, call, |p| {
+        p.current
+            .as_ref()
+            .is_some_and(|c| c.repeat == Repeat::NonIdempotent)
+    })?;
+    if is_running {
+        let detail = "a call that must not be cut is under way; close the program after it";
+        return Err(Problem::not_run(Kind::Conflict, detail));
+    }
+    let gone = cell
+        .with_owner(|o| o.state().descendants(call.program))
+        .unwrap_or_default();
+    let record = Record::Close {
+        program: call.program,
+    };
+    let proposed = cell.propose(record).map_err(refusal)?;
+    cell.notify();
+    let patience = Duration::from_millis(call.patience_ms);
+    match cell
+        .commit(proposed, Durability::LogOrCopies, patience)
+        .await
+    {
+        Ok(()) => {}
+        Err(CommitError::Lost) => return Err(moved()),
+        Err(CommitError::TimedOut) => return Err(not_durable()),
+    }
+    task::spawn(cache::release_closed(
+        Arc::clone(daemon),
+        gone,
+        proposed.epoch,
+    ));
+    Ok(Response::new(204))
+}
+
+fn inspect(cell: &Cell, call: &Call) -> Result<Response, Problem> {
+    let left = cell.with_owner(|o| o.state().budget_left(call.program));
+    let left = left.ok_or_else(moved)?;
+    let inspected = with_program(cell, call, |p| Inspected {
+        program: call.program,
+        turns: p.turns.len(),
+        next_turn: p.next_turn(),
+        history_tokens: p.history_tokens,
+        history_digest: p.history.to_string(),
+        budget_left: left,
+        ends_at_ms: p.deadline,
+    })?;
+    Ok(json(200, &inspected))
+}
+
+fn stored(cell: &Cell, call: &Call, n: Turn) -> Result<Response, Problem> {
+    let outcome = with_program(cell, call, |p| {
+        p.turns.get(n.0 as usize).map(|t| t.outcome.clone())
+    })?;
+    let missing = || Problem::not_run(Kind::NotFound, format!("turn {n} has not ended"));
+    turn::replay(outcome.ok_or_else(missing)?, false)
+}
+
+/// Closes programs whose time is over.
+pub async fn close_expired(daemon: &Arc<Daemon>, cell: &Cell) {
+    let now = daemon.clock.wall();
+    let expired = cell.with_owner(|o| {
+        let programs = o.state().programs.iter();
+        let expired = programs.filter(|(_, p)| p.deadline <= now && p.current.is_none());
+        let expired = expired.map(|(id, _)| (*id, o.state().descendants(*id)));
+        expired.collect::<Vec<_>>()
+    });
+    for (program, gone) in expired.unwrap_or_default() {
+        if let Ok(proposed) = cell.propose(Record::Close { program }) {
+            log::info!(program = program.to_string().as_str(); "program closed, its time is over");
+            cache::release_closed(Arc::clone(daemon), gone, proposed.epoch).await;
+        }
+    }
+}
--- /dev/null
+++ b/kingcupspan/src/filter/request.rs
@@ -0,0 +1,250 @@
+//! Callers' requests: from HTTP to what is asked of a program's owner.
+
+use std::str;
+
+use http_types::Method;
+use kingcupspan_config::{caller::Caller, service};
+use kingcupspan_core::{
+    id::{ModelId, ProgramId, ServiceId, Slot, Turn, WorkspaceId},
+    rendezvous,
+};
+use serde::Deserialize;
+use serde_json::{Value, value::RawValue};
+
+use crate::{
+    edge::{
+        peer::{Ask, Call, Target, TurnAsk},
+        problem::{Kind, Problem},
+    },
+    filter::Cx,
+};
+
+/// Longest idempotency key, in bytes.
+const KEY_MAX_BYTES: usize = 255;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OpenBody {
+    workspace: WorkspaceId,
+    #[serde(default)]
+    budget: BudgetBody,
+    parent: Option<ProgramId>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BudgetBody {
+    tokens: Option<u64>,
+    calls: Option<u64>,
+    seconds: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct ChatBody<'a> {
+    model: ModelId,
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// Reads a request.
+pub fn read(cx: &Cx, caller: &Caller, body: Vec<u8>) -> Result<Call, Problem> {
+    let path = cx.exchange.req.url().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let method = cx.exchange.req.method();
+    match (method, parts.as_slice()) {
+        (Method::Post, ["v1", "programs"]) => open(cx, caller, &body),
+        (Method::Get, ["v1", "programs", id]) => about(cx, caller, id, Ask::Inspect),
+        (Method::Delete, ["v1", "programs", id]) => about(cx, caller, id, Ask::Close),
+        (Method::Get, ["v1", "programs", id, "turns", turn]) => {
+            let turn = parse(turn, "turn")?;
+            about(cx, caller, id, Ask::Stored(turn))
+        }
+        (Method::Post, ["v1", "chat", "completions"]) => {
+            let target = chat(cx, &body)?;
+            turn(cx, caller, target, body)
+        }
+        (Method::Post, ["v1", "services", service, rest @ ..]) if !rest.is_empty() => {
+            let target = service_target(cx, service, &rest.join("/"))?;
+            turn(cx, caller, target, body)
+        }
+        _ => {
+            let detail = format!("there is no {method} {path}");
+            Err(Problem::not_run(Kind::NotFound, detail))
+        }
+    }
+}
+
+fn parse<T: str::FromStr>(raw: &str, what: &str) -> Result<T, Problem> {
+    raw.parse().map_err(|_| {
+        let detail = format!("{raw:?} is not a valid {what}");
+        Problem::not_run(Kind::BadRequest, detail)
+    })
+}
+
+fn malformed(e: &serde_json::Error) -> Problem {
+    Problem::not_run(Kind::BadRequest, format!("the body is not valid: {e}"))
+}
+
+fn program(raw: &str) -> Result<ProgramId, Problem> {
+    // A malformed id cannot name a program: the same answer as for one of another caller.
+    raw.parse()
+        .map_err(|_| Problem::not_run(Kind::NotFound, "no such program"))
+}
+
+fn call(cx: &Cx, caller: &Caller, program: ProgramId, ask: Ask) -> Call {
+    Call {
+        caller: caller.caller.clone(),
+        program,
+        ask,
+        patience_ms: cx.limits.call_deadline_ms,
+    }
+}
+
+fn about(cx: &Cx, caller: &Caller, id: &str, ask: Ask) -> Result<Call, Problem> {
+    Ok(call(cx, caller, program(id)?, ask))
+}
+
+fn open(cx: &Cx, caller: &Caller, body: &[u8]) -> Result<Call, Problem> {
+    let body: OpenBody = serde_json::from_slice(body).map_err(|e| malformed(&e))?;
+    if !caller.workspaces.contains(&body.workspace) {
+        let detail = format!("workspace {} is not open to this caller", body.workspace);
+        return Err(Problem::not_run(Kind::Forbidden, detail));
+    }
+    let configuration = &cx.checked.configuration;
+    let limits = configuration.limits(&caller.caller, Some(&body.workspace));
+    let budget = body.budget;
+    let ask = Ask::Open {
+        workspace: body.workspace,
+        tokens: within(budget.tokens, limits.budget_tokens, "tokens")?,
+        calls: within(budget.calls, limits.budget_calls, "calls")?,
+        seconds: within(budget.seconds, limits.budget_seconds, "seconds")?,
+        parent: body.parent,
+    };
+    let slot = match body.parent {
+        Some(parent) => parent.slot,
+        None => slot_of_new_program(cx),
+    };
+    let id = ProgramId {
+        slot,
+        nonce: rand::random(),
+    };
+    Ok(call(cx, caller, id, ask))
+}
+
+fn within(asked: Option<u64>, most: u64, what: &str) -> Result<u64, Problem> {
+    match asked {
+        Some(asked) if asked > most => {
+            let detail = format!("a budget has at most {most} {what}");
+            Err(Problem::not_run(Kind::Forbidden, detail))
+        }
+        Some(asked) => Ok(asked),
+        None => Ok(most),
+    }
+}
+
+/// A slot that this daemon owns, so that a program that begins here stays here.
+fn slot_of_new_program(cx: &Cx) -> Slot {
+    let nonce: u64 = rand::random();
+    let owned = cx
+        .daemon
+        .slots
+        .iter()
+        .filter(|c| c.with_owner(|_| ()).is_some());
+    let owned: Vec<String> = owned.map(|c| c.slot.to_string()).collect();
+    let chosen = rendezvous::first(&nonce.to_string(), owned.iter().map(String::as_str));
+    match chosen.and_then(|s| s.parse().ok()) {
+        Some(slot) => slot,
+        None => Slot((nonce % u64::from(cx.daemon.settings.slots)) as u16),
+    }
+}
+
+fn turn(cx: &Cx, caller: &Caller, target: Target, body: Vec<u8>) -> Result<Call, Problem> {
+    let header = |name: &str| {
+        let missing = || Problem::not_run(Kind::BadRequest, format!("header {name} is missing"));
+        cx.exchange.header(name).ok_or_else(missing)
+    };
+    let id = program(header("Program-Id")?)?;
+    let turn: Turn = parse(header("Turn")?, "turn")?;
+    let history = cx.exchange.header("History-Digest");
+    let history = history.map(|h| parse(h, "digest")).transpose()?;
+    let ask = Ask::Turn(TurnAsk {
+        turn,
+        target,
+        body,
+        history,
+    });
+    Ok(call(cx, caller, id, ask))
+}
+
+fn chat(cx: &Cx, body: &[u8]) -> Result<Target, Problem> {
+    let body: ChatBody<'_> = serde_json::from_slice(body).map_err(|e| malformed(&e))?;
+    if body.messages.is_empty() {
+        let detail = "`messages` carries the new messages of this turn, at least one";
+        return Err(Problem::not_run(Kind::BadRequest, detail));
+    }
+    let messages: Vec<&str> = body.messages.iter().map(|m| m.get()).collect();
+    for message in &messages {
+        check_message(message)?;
+    }
+    let max_tokens = body.max_tokens.unwrap_or(cx.limits.max_tokens);
+    if max_tokens == 0 {
+        return Err(Problem::not_run(
+            Kind::BadRequest,
+            "`max_tokens` is at least 1",
+        ));
+    }
+    Ok(Target::Model {
+        model: body.model,
+        messages: messages.join(","),
+        max_tokens,
+        stream: body.stream,
+    })
+}
+
+fn check_message(raw: &str) -> Result<(), Problem> {
+    let message: Value = serde_json::from_str(raw).map_err(|e| malformed(&e))?;
+    let has_role = message.get("role").is_some_and(Value::is_string);
+    match has_role && message.get("content").is_some() {
+        true => Ok(()),
+        false => {
+            let detail = "each message is an object with `role` and `content`";
+            Err(Problem::not_run(Kind::BadRequest, detail))
+        }
+    }
+}
+
+fn service_target(cx: &Cx, name: &str, path: &str) -> Result<Target, Problem> {
+    let unknown = || Problem::not_run(Kind::NotFound, format!("no operation {path} of {name}"));
+    let service: ServiceId = name.parse().map_err(|_| unknown())?;
+    let known = cx
+        .checked
+        .configuration
+        .service(&service)
+        .ok_or_else(unknown)?;
+    let operation = known.operation(path).ok_or_else(unknown)?;
+    let key = cx.exchange.header("Idempotency-Key").map(str::to_owned);
+    let key = match (operation.repeat, key) {
+        (service::Repeat::Idempotent, _) => None,
+        (service::Repeat::NonIdempotent, Some(key)) if is_valid_key(&key) => Some(key),
+        (service::Repeat::NonIdempotent, _) => {
+            let detail = "this operation is not idempotent: send a printable Idempotency-Key";
+            return Err(Problem::not_run(Kind::BadRequest, detail));
+        }
+    };
+    let content_type = cx.exchange.header("Content-Type");
+    Ok(Target::Service {
+        service,
+        path: path.to_owned(),
+        key,
+        content_type: content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+    })
+}
+
+fn is_valid_key(key: &str) -> bool {
+    !key.is_empty() && key.len() <= KEY_MAX_BYTES && key.bytes().all(|b| b.is_ascii_graphic())
+}
--- /dev/null
+++ b/kingcupspan/src/filter/turn.rs
@@ -0,0 +1,321 @@
+//! A turn at the owner of its program: order, budget, place, send, account.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use http_types::{Body, Response};
+use kingcupspan_config::{endpoint::Serves, limits::Limits};
+use kingcupspan_core::{
+    budget,
+    digest::Digest,
+    id::{MonoMs, Offset},
+    record::{Answer, Outcome, Repeat},
+    usage,
+};
+use serde_json::{Value, json};
+
+use crate::{
+    controller::{
+        grants,
+        slots::{Cell, Proposed},
+    },
+    daemon::Daemon,
+    edge::{
+        body,
+        peer::{Call, Target, TurnAsk},
+        problem::{Kind, Problem},
+    },
+    filter::{account, budget as budget_filter, order, place, program, send},
+};
+
+/// Who waits for the answer.
+pub enum ReplyTo {
+    /// Nothing has been answered yet.
+    Nobody(async_channel::Sender<Result<Response, Problem>>),
+
+    /// The answer is being streamed.
+    Streaming(body::Writer),
+
+    /// The caller has its answer or is gone.
+    Done,
+}
+
+/// A turn on its way through the owner's chain.
+pub struct TurnCx {
+    /// The daemon.
+    pub daemon: Arc<Daemon>,
+
+    /// The request.
+    pub call: Call,
+
+    /// The turn that it asks for.
+    pub ask: TurnAsk,
+
+    /// The limits that hold for it.
+    pub limits: Limits,
+
+    /// The caller's weight.
+    pub weight: u64,
+
+    /// Digest of the request.
+    pub digest: Digest,
+
+    /// Whether it may be repeated.
+    pub repeat: Repeat,
+
+    /// What can serve it.
+    pub serves: Serves,
+
+    /// When it has to have ended.
+    pub deadline: MonoMs,
+
+    /// When it arrived.
+    pub arrived: MonoMs,
+
+    /// Fencing number under which it was admitted.
+    pub epoch: Offset,
+
+    /// What is reserved for it.
+    pub reserve: budget::Amount,
+
+    /// Tokens that a model may decode.
+    pub max_tokens: u64,
+
+    /// Tokens and digest of the history that it extends.
+    pub history: History,
+
+    /// The place where it may run.
+    pub held: Option<grants::Held>,
+
+    /// Its start on the log.
+    pub started: Option<Proposed>,
+
+    /// When its start became durable.
+    pub started_at: MonoMs,
+
+    /// What it has cost so far.
+    pub cost: usage::Cost,
+
+    /// Who waits for its answer.
+    pub reply_to: ReplyTo,
+}
+
+/// The history that a turn extends.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// Its messages, as a JSON list without brackets.
+    pub messages: String,
+
+    /// Its tokens.
+    pub tokens: u64,
+
+    /// Its digest.
+    pub digest: Digest,
+}
+
+/// How a call ended at its endpoint.
+pub struct Ended {
+    /// The outcome for the log.
+    pub outcome: Outcome,
+
+    /// What it drew from the budget.
+    pub used: budget::Amount,
+
+    /// What the caller is told if there is no answer.
+    pub problem: Option<Problem>,
+}
+
+impl TurnCx {
+    /// The cell of the program's slot.
+    pub fn cell(&self) -> Result<&Cell, Problem> {
+        let cell = self.daemon.slot(self.call.program.slot);
+        cell.ok_or_else(program::no_program)
+    }
+
+    /// Time left for the call.
+    pub fn left(&self) -> Duration {
+        let now = self.daemon.clock.mono();
+        Duration::from_millis(self.deadline.since(now))
+    }
+
+    /// Whether the caller wants the answer as a stream.
+    pub fn is_streamed(&self) -> bool {
+        matches!(self.ask.target, Target::Model { stream: true, .. })
+    }
+
+    /// Answers the caller, if it has not been answered yet.
+    pub async fn answer(&mut self, answer: Result<Response, Problem>) {
+        match std::mem::replace(&mut self.reply_to, ReplyTo::Done) {
+            ReplyTo::Nobody(tx) => {
+                // The caller may be gone, the answer stays on the log.
+                let _ = tx.send(answer).await;
+            }
+            // Dropping the writer cuts the stream: what was sent is not whole.
+            ReplyTo::Streaming(_) | ReplyTo::Done => {}
+        }
+    }
+}
+
+/// Digest of what a turn asks; how the answer is delivered is no part of it.
+fn digest_of(ask: &TurnAsk) -> Digest {
+    match &ask.target {
+        Target::Model {
+            model,
+            messages,
+            max_tokens,
+            ..
+        } => {
+            let head = json!(["model", model.as_str(), max_tokens]).to_string();
+            Digest::of(head.as_bytes()).chain(messages.as_bytes())
+        }
+        Target::Service {
+            service, path, key, ..
+        } => {
+            let head = json!(["service", service.as_str(), path, key]).to_string();
+            Digest::of(head.as_bytes()).chain(&ask.body)
+        }
+    }
+}
+
+/// Serves a turn; the work goes on if the caller goes away.
+pub async fn handle(daemon: &Arc<Daemon>, call: Call, ask: TurnAsk) -> Result<Response, Problem> {
+    let mut cx = make(daemon, call, ask)?;
+    let (tx, rx) = async_channel::bounded(1);
+    cx.reply_to = ReplyTo::Nobody(tx);
+    task::spawn(run(cx));
+    let ended = || Problem::unknown("the call ended without an answer");
+    rx.recv().await.unwrap_or_else(|_| Err(ended()))
+}
+
+fn make(daemon: &Arc<Daemon>, call: Call, ask: TurnAsk) -> Result<TurnCx, Problem> {
+    let checked = daemon.configuration.get();
+    let cell = daemon.slot(call.program.slot);
+    let cell = cell.ok_or_else(program::no_program)?;
+    let workspace = program::with_program(cell, &call, |p| p.workspace.clone())?;
+    let configuration = &checked.configuration;
+    let limits = configuration.limits(&call.caller, Some(&workspace));
+    let (serves, repeat) = match &ask.target {
+        Target::Model { model, .. } => (Serves::Model(model.clone()), Repeat::Idempotent),
+        Target::Service { service, key, .. } => {
+            let repeat = match key {
+                Some(_) => Repeat::NonIdempotent,
+                None => Repeat::Idempotent,
+            };
+            (Serves::Service(service.clone()), repeat)
+        }
+    };
+    let now = daemon.clock.mono();
+    let patience_ms = call.patience_ms.min(limits.call_deadline_ms);
+    Ok(TurnCx {
+        weight: configuration.weight(&call.caller),
+        digest: digest_of(&ask),
+        deadline: MonoMs(now.0 + patience_ms),
+        arrived: now,
+        daemon: Arc::clone(daemon),
+        call,
+        ask,
+        limits,
+        repeat,
+        serves,
+        epoch: Offset::default(),
+        reserve: budget::Amount::default(),
+        max_tokens: 0,
+        history: History::default(),
+        held: None,
+        started: None,
+        started_at: now,
+        cost: usage::Cost::default(),
+        reply_to: ReplyTo::Done,
+    })
+}
+
+async fn run(mut cx: TurnCx) {
+    let _running = match order::run(&mut cx).await {
+        Ok(order::Verdict::Run(running)) => running,
+        Ok(order::Verdict::Replay(outcome)) => {
+            let streamed = cx.is_streamed();
+            return cx.answer(replay(outcome, streamed)).await;
+        }
+        Err(problem) => return cx.answer(Err(problem)).await,
+    };
+    let prepared = prepare(&mut cx).await;
+    if let Err(problem) = prepared {
+        give_back(&mut cx).await;
+        return cx.answer(Err(problem)).await;
+    }
+    let ended = send::run(&mut cx).await;
+    give_back(&mut cx).await;
+    account::run(&mut cx, ended).await;
+}
+
+async fn prepare(cx: &mut TurnCx) -> Result<(), Problem> {
+    budget_filter::check(cx)?;
+    place::run(cx, &[]).await?;
+    budget_filter::reserve(cx).await
+}
+
+/// Gives back the place at the endpoint.
+pub async fn give_back(cx: &mut TurnCx) {
+    if let Some(held) = cx.held.take() {
+        let cost = cx.cost.prompt_tokens + cx.cost.decoded_tokens;
+        grants::release(&cx.daemon, &held.endpoint, held.ticket, cost).await;
+    }
+}
+
+/// The stored outcome of a turn as an answer.
+pub fn replay(outcome: Outcome, streamed: bool) -> Result<Response, Problem> {
+    match outcome {
+        Outcome::Answered(answer) => Ok(respond(&answer, streamed)),
+        Outcome::NotRun | Outcome::Failed => {
+            let detail = "the call was never sent; its turn is over, use the next one";
+            Err(Problem::not_run(Kind::Unavailable, detail))
+        }
+        Outcome::Unknown => {
+            let detail = "the call was sent and its answer was lost; it is not sent again";
+            Err(Problem::unknown(detail))
+        }
+    }
+}
+
+/// A whole answer as a response.
+pub fn respond(answer: &Answer, streamed: bool) -> Response {
+    let mut res = Response::new(answer.status);
+    if !streamed {
+        res.set_body(Body::from_bytes(answer.body.clone()));
+        res.insert_header("Content-Type", answer.content_type.as_str());
+        return res;
+    }
+    let whole: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    let text = whole["choices"][0]["message"]["content"].as_str();
+    let id = whole["id"].as_str().unwrap_or_default();
+    let mut events = chunk_event(id, text.unwrap_or_default());
+    events.push_str(&end_events(&whole));
+    res.set_body(Body::from_bytes(events.into_bytes()));
+    res.insert_header("Content-Type", "text/event-stream");
+    res
+}
+
+/// An event with a piece of text.
+pub fn chunk_event(id: &str, text: &str) -> String {
+    let event = json!({
+        "id": id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": text}}],
+    });
+    format!("data: {event}\n\n")
+}
+
+/// The events that end a stream.
+pub fn end_events(whole: &Value) -> String {
+    let event = json!({
+        "id": whole["id"],
+        "object": "chat.completion.chunk",
+        "choices": [{
+            "index": 0,
+            "delta": {},
+            "finish_reason": whole["choices"][0]["finish_reason"],
+        }],
+        "usage": whole["usage"],
+    });
+    format!("data: {event}\n\ndata: [DONE]\n\n")
+}
--- /dev/null
+++ b/kingcupspan/src/lib.rs
@@ -0,0 +1,13 @@
+//! The kingcupspan daemon and its commands.
+
+pub mod cli;
+pub mod clock;
+pub mod command;
+pub mod controller;
+pub mod daemon;
+pub mod edge;
+pub mod filter;
+pub mod logging;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
--- /dev/null
+++ b/kingcupspan/src/main.rs
@@ -0,0 +1,9 @@
+//! The kingcupspan program.
+
+use std::process;
+
+use kingcupspan::{cli, command};
+
+fn main() -> process::ExitCode {
+    command::run(cli::options().run())
+}
--- /dev/null
+++ b/kingcupspan/src/peers.rs
@@ -0,0 +1,75 @@
+//! Serves other daemons.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::net::TcpListener;
+use http_types::Response;
+
+use crate::{
+    controller::{grants, membership, quarantine},
+    daemon::Daemon,
+    edge::{
+        peer,
+        problem::{Kind, Problem},
+        server::{self, Exchange},
+    },
+    filter::program,
+};
+
+/// How long a message may take to arrive.
+const MESSAGE_PATIENCE: Duration = Duration::from_secs(10);
+
+/// Serves other daemons.
+pub async fn serve(daemon: Arc<Daemon>, listener: TcpListener) {
+    server::serve(listener, Arc::default(), move |exchange| {
+        handle(Arc::clone(&daemon), exchange)
+    })
+    .await;
+}
+
+async fn handle(daemon: Arc<Daemon>, mut exchange: Exchange) -> Response {
+    let limit = peer::MESSAGE_MAX_BYTES as u64;
+    let answer = match exchange.body(limit, MESSAGE_PATIENCE).await {
+        Ok(bytes) => answer(&daemon, exchange.req.url().path(), &bytes).await,
+        Err(problem) => Err(problem),
+    };
+    answer.unwrap_or_else(|problem| problem.response())
+}
+
+async fn answer(daemon: &Arc<Daemon>, path: &str, bytes: &[u8]) -> Result<Response, Problem> {
+    match path {
+        peer::HEARTBEAT => Ok(peer::response(&membership::our_heartbeat(daemon))),
+        peer::CALL => {
+            let _counted = daemon.gauge.enter();
+            program::handle(daemon, peer::decode(bytes)?).await
+        }
+        peer::COPY => {
+            let copy: peer::Copy = peer::decode(bytes)?;
+            let cell = daemon.slot(copy.slot).ok_or_else(unknown)?;
+            Ok(peer::response(&cell.keep_copy(copy)))
+        }
+        peer::COPIES => {
+            let asked: peer::Copies = peer::decode(bytes)?;
+            let cell = daemon.slot(asked.slot).ok_or_else(unknown)?;
+            Ok(peer::response(&cell.copies(asked.epoch)))
+        }
+        peer::GRANT => {
+            let granted = grants::grant_here(daemon, peer::decode(bytes)?).await;
+            Ok(peer::response(&granted))
+        }
+        peer::RELEASE => {
+            grants::release_here(daemon, &peer::decode(bytes)?);
+            Ok(peer::response(&()))
+        }
+        peer::CONFIGURATION => Ok(peer::response(&daemon.configuration.get().in_force)),
+        quarantine::PATH => {
+            daemon.quarantine.apply(&peer::decode(bytes)?);
+            Ok(peer::response(&()))
+        }
+        _ => Err(unknown()),
+    }
+}
+
+fn unknown() -> Problem {
+    Problem::not_run(Kind::NotFound, "no such message or slot")
+}
--- /dev/null
+++ b/kingcupspan_config/src/configuration.rs
@@ -0,0 +1,130 @@
+//! The fleet's configuration, as operators publish it.
+
+use std::{cell, collections::BTreeSet, fmt};
+
+use kingcupspan_core::{
+    digest,
+    id::{CallerId, EndpointId, ServiceId, WorkspaceId},
+};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{caller, endpoint, exception, finding, limits, node, service};
+
+/// A checked configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Configuration {
+    /// Limits of everyone who is not excepted.
+    pub defaults: limits::Limits,
+
+    /// Who is excepted, and why.
+    pub exceptions: Vec<exception::Exception>,
+
+    /// Who may send requests.
+    pub callers: Vec<caller::Caller>,
+
+    /// Plain services.
+    pub services: Vec<service::Service>,
+
+    /// Endpoints.
+    pub endpoints: Vec<endpoint::Endpoint>,
+}
+
+impl TryFrom<&Value> for Configuration {
+    type Error = finding::Findings;
+
+    fn try_from(raw: &Value) -> Result<Self, finding::Findings> {
+        let findings = cell::RefCell::default();
+        let configuration = Self::read(&node::Node::root(raw, &findings));
+        findings.into_inner().or(Some(configuration))
+    }
+}
+
+impl Configuration {
+    fn read(node: &node::Node<'_>) -> Self {
+        let defaults = node.child("defaults");
+        let configuration = Self {
+            defaults: limits::Limits::default().overlay(&defaults),
+            exceptions: node.list("exceptions", exception::Exception::read),
+            callers: node.list("callers", caller::Caller::read),
+            services: node.list("services", service::Service::read),
+            endpoints: node.list("endpoints", endpoint::Endpoint::read),
+        };
+        defaults.refuse_unknown();
+        node.refuse_unknown();
+        configuration.cross_check(node);
+        configuration
+    }
+
+    fn cross_check(&self, node: &node::Node<'_>) {
+        refuse_twice(node, "callers", self.callers.iter().map(|c| &c.caller));
+        refuse_twice(node, "callers", self.callers.iter().map(|c| &c.key_sha256));
+        refuse_twice(node, "services", self.services.iter().map(|s| &s.service));
+        refuse_twice(
+            node,
+            "endpoints",
+            self.endpoints.iter().map(|e| &e.endpoint),
+        );
+        for (i, exception) in self.exceptions.iter().enumerate() {
+            if !self.callers.iter().any(|c| c.caller == exception.caller) {
+                let message = format!("there is no caller {}", exception.caller);
+                node.report_at(&format!("exceptions/{i}/caller"), message);
+            }
+        }
+        for (i, endpoint) in self.endpoints.iter().enumerate() {
+            if let endpoint::Serves::Service(name) = &endpoint.serves
+                && self.service(name).is_none()
+            {
+                let message = format!("there is no service {name}");
+                node.report_at(&format!("endpoints/{i}/service"), message);
+            }
+        }
+    }
+
+    /// The caller whose key has this digest.
+    pub fn caller_by_key(&self, digest: &digest::Digest) -> Option<&caller::Caller> {
+        self.callers.iter().find(|c| c.key_sha256 == *digest)
+    }
+
+    /// The weight of a caller, 1 for one that is gone.
+    pub fn weight(&self, caller: &CallerId) -> u64 {
+        let found = self.callers.iter().find(|c| c.caller == *caller);
+        found.map_or(1, |c| c.weight)
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &ServiceId) -> Option<&service::Service> {
+        self.services.iter().find(|s| s.service == *name)
+    }
+
+    /// The endpoint of this name.
+    pub fn endpoint(&self, name: &EndpointId) -> Option<&endpoint::Endpoint> {
+        self.endpoints.iter().find(|e| e.endpoint == *name)
+    }
+
+    /// The limits in force for a caller, with all exceptions that cover it.
+    pub fn limits(&self, caller: &CallerId, workspace: Option<&WorkspaceId>) -> limits::Limits {
+        let mut limits = self.defaults.clone();
+        let findings = cell::RefCell::default();
+        for exception in &self.exceptions {
+            if exception.covers(caller, workspace) {
+                limits = limits.overlay(&node::Node::root(&exception.set, &findings));
+            }
+        }
+        limits
+    }
+}
+
+fn refuse_twice<T: Ord + fmt::Display>(
+    node: &node::Node<'_>,
+    field: &str,
+    items: impl Iterator<Item = T>,
+) {
+    let mut seen = BTreeSet::new();
+    for (i, item) in items.enumerate() {
+        let message = format!("{item} stands here twice");
+        if !seen.insert(item) {
+            node.report_at(&format!("{field}/{i}"), message);
+        }
+    }
+}
--- /dev/null
+++ b/kingcupspan_config/src/exception.rs
@@ -0,0 +1,57 @@
+//! Exceptions from the defaults, each with its reason.
+
+use kingcupspan_core::id::{CallerId, WorkspaceId};
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::{limits, node};
+
+/// Shortest reason that says something, in characters.
+const REASON_MIN_CHARS: usize = 10;
+
+/// Other limits for one caller, or for one of its workspaces.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Exception {
+    /// Whom it is for.
+    pub caller: CallerId,
+
+    /// The only workspace that it holds for, if any.
+    pub workspace: Option<WorkspaceId>,
+
+    /// Why it is needed.
+    pub reason: String,
+
+    /// The limits that differ, as published.
+    pub set: Value,
+}
+
+impl Exception {
+    /// Reads an exception.
+    pub fn read(node: &node::Node<'_>) -> Option<Self> {
+        let caller = node.text("caller");
+        let workspace = node.optional_text("workspace");
+        let reason: Option<String> = node.text("reason");
+        if reason
+            .as_ref()
+            .is_some_and(|r| r.trim().chars().count() < REASON_MIN_CHARS)
+        {
+            let message = format!("state the reason in at least {REASON_MIN_CHARS} characters");
+            node.report_at("reason", message);
+        }
+        let set = node.child("set");
+        limits::Limits::default().overlay(&set);
+        set.refuse_unknown();
+        Some(Self {
+            caller: caller?,
+            workspace,
+            reason: reason?,
+            set: node.get("set")?.clone(),
+        })
+    }
+
+    /// Whether it holds for a program of `caller` in `workspace`.
+    pub fn covers(&self, caller: &CallerId, workspace: Option<&WorkspaceId>) -> bool {
+        let same_workspace = self.workspace.is_none() || self.workspace.as_ref() == workspace;
+        self.caller == *caller && same_workspace
+    }
+}
--- /dev/null
+++ b/kingcupspan_core/src/owner.rs
@@ -0,0 +1,199 @@
+//! An owner's side of a slot: propose records, number them, see them committed.
+
+use std::collections::VecDeque;
+
+use crate::{
+    id::{Offset, Seq, Writer},
+    record::{Batch, Entry, Finish, Outcome, Record, Repeat},
+    slot, usage,
+};
+
+/// What reading a batch back from the log means to the owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Own records up to this number are on the log and count.
+    Committed(Seq),
+
+    /// Another daemon owns the slot from now on.
+    Lost,
+
+    /// A former owner reported the fate of a call.
+    Fate,
+
+    /// Nothing changed.
+    Nothing,
+}
+
+/// The owner of a slot.
+///
+/// Its state runs ahead of the log by the records in `pending`; whatever is
+/// told to a caller or sent to an endpoint waits until they are committed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Owner {
+    state: slot::SlotState,
+    writer: Writer,
+    epoch: Offset,
+    last: Seq,
+    committed: Seq,
+    pending: VecDeque<Entry>,
+}
+
+impl Owner {
+    /// Takes over a state whose claim is `writer`'s.
+    pub fn new(state: slot::SlotState, writer: &Writer) -> Option<Self> {
+        let claim = state.claim.as_ref()?;
+        if claim.writer != *writer || claim.last_seq != Seq(0) {
+            return None;
+        }
+        Some(Self {
+            writer: writer.clone(),
+            epoch: claim.epoch,
+            last: Seq(0),
+            committed: Seq(0),
+            pending: VecDeque::new(),
+            state,
+        })
+    }
+
+    /// The state with all proposed records folded in.
+    pub fn state(&self) -> &slot::SlotState {
+        &self.state
+    }
+
+    /// The owner's fencing number.
+    pub fn epoch(&self) -> Offset {
+        self.epoch
+    }
+
+    /// Number of the last record that is on the log.
+    pub fn committed(&self) -> Seq {
+        self.committed
+    }
+
+    /// Records that are not known to be on the log.
+    pub fn pending(&self) -> impl ExactSizeIterator<Item = &Entry> {
+        self.pending.iter()
+    }
+
+    /// Folds a record into the state and queues it; the call waits for its number.
+    pub fn propose(&mut self, record: Record) -> Result<Seq, slot::Refusal> {
+        self.state.apply_record(&record)?;
+        self.last = self.last.next();
+        if let Some(claim) = &mut self.state.claim {
+            claim.last_seq = self.last;
+        }
+        self.pending.push_back(Entry {
+            seq: self.last,
+            record,
+        });
+        Ok(self.last)
+    }
+
+    /// Queues a snapshot of the state as it is now.
+    pub fn propose_snapshot(&mut self) -> Result<Seq, slot::Refusal> {
+        let state = Box::new(self.state.clone());
+        self.propose(Record::Snapshot(state))
+    }
+
+    /// The records to append next: the same ones again until they are committed.
+    pub fn batch(&self, most: usize) -> Option<Batch> {
+        if self.pending.is_empty() {
+            return None;
+        }
+        Some(Batch::Owned {
+            writer: self.writer.clone(),
+            epoch: self.epoch,
+            entries: self.pending.iter().take(most).cloned().collect(),
+        })
+    }
+
+    /// Takes in the batch that the log holds at `offset`.
+    pub fn read_back(&mut self, offset: Offset, batch: &Batch) -> Event {
+        match batch {
+            Batch::Owned {
+                writer,
+                epoch,
+                entries,
+            } if *epoch == self.epoch && *writer == self.writer => self.commit(entries),
+            Batch::Claim { .. } | Batch::Owned { .. } => match self.state.apply(offset, batch) {
+                slot::Applied::Claimed | slot::Applied::Stale => Event::Lost,
+                slot::Applied::Fate => Event::Fate,
+                slot::Applied::Folded(_) | slot::Applied::Ignored => Event::Nothing,
+            },
+        }
+    }
+
+    fn commit(&mut self, entries: &[Entry]) -> Event {
+        let before = self.committed;
+        for entry in entries {
+            if entry.seq == self.committed.next() {
+                self.committed = entry.seq;
+            }
+        }
+        while self
+            .pending
+            .front()
+            .is_some_and(|e| e.seq <= self.committed)
+        {
+            self.pending.pop_front();
+        }
+        match self.committed > before {
+            true => Event::Committed(self.committed),
+            false => Event::Nothing,
+        }
+    }
+
+    /// Adopts records that a former owner could not bring to the log, as far
+    /// as they extend this state; returns how many did.
+    ///
+    /// A call whose end is not among them is adopted as failed, so that what
+    /// it may have used stays charged.
+    pub fn adopt(&mut self, entries: &[Entry]) -> usize {
+        let mut adopted = 0;
+        for entry in entries.iter().filter(|e| adoptable(&e.record)) {
+            adopted += usize::from(self.propose(entry.record.clone()).is_ok());
+        }
+        self.fail_open_calls();
+        adopted
+    }
+
+    fn fail_open_calls(&mut self) {
+        let epoch = self.epoch;
+        let programs = self.state.programs.iter();
+        let open: Vec<Record> = programs
+            .filter_map(|(id, p)| {
+                let current = p.current.as_ref()?;
+                (current.starter.epoch == epoch).then(|| {
+                    Record::Finish(Finish {
+                        program: *id,
+                        turn: p.next_turn(),
+                        used: current.reserve,
+                        cost: usage::Cost::default(),
+                        outcome: Outcome::Failed,
+                    })
+                })
+            })
+            .collect();
+        for record in open {
+            // Each call was found open in this very state.
+            let _ = self.propose(record);
+        }
+    }
+}
+
+/// Only what cannot take effect twice is adopted: never the intent of a
+/// non-idempotent call.
+fn adoptable(record: &Record) -> bool {
+    match record {
+        Record::Open(_) | Record::Close { .. } => true,
+        Record::Start(start) => start.repeat == Repeat::Idempotent,
+        Record::Finish(finish) => match finish.outcome {
+            Outcome::Answered(_) | Outcome::Failed => true,
+            Outcome::NotRun | Outcome::Unknown => false,
+        },
+        Record::Settle { .. }
+        | Record::Reopen { .. }
+        | Record::Snapshot(_)
+        | Record::Release { .. } => false,
+    }
+}
--- /dev/null
+++ b/kingcupspan_core/src/slot.rs
@@ -0,0 +1,525 @@
+//! The fold of a slot's stream: every daemon that reads the same records
+//! reaches the same state.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    budget,
+    id::{Offset, ProgramId, Seq, Turn, VmId, Writer},
+    program,
+    record::{self, Batch, Entry, Outcome, Record, Repeat},
+    usage,
+};
+
+/// The claim in force on a slot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Claim {
+    /// The owner.
+    pub writer: Writer,
+
+    /// Offset of the claim: the owner's fencing number.
+    pub epoch: Offset,
+
+    /// Number of the owner's last record folded here.
+    pub last_seq: Seq,
+
+    /// VM that should claim next, once the owner has let go.
+    pub released_to: Option<VmId>,
+}
+
+/// Folded state of one slot.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SlotState {
+    /// The claim in force.
+    pub claim: Option<Claim>,
+
+    /// Open programs.
+    pub programs: BTreeMap<ProgramId, program::Program>,
+
+    /// What the calls of open and closed programs cost.
+    pub account: usage::Account,
+}
+
+/// Why a record does not count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Refusal {
+    /// The writer does not own the slot.
+    #[error("the slot is owned by another daemon")]
+    NotOwner,
+
+    /// There is no such program.
+    #[error("no such program")]
+    NoProgram,
+
+    /// The program exists already.
+    #[error("the program exists already")]
+    Exists,
+
+    /// The turn is not the next one of the program.
+    #[error("the turn is out of order")]
+    Order,
+
+    /// A call is under way.
+    #[error("a call of this program is under way")]
+    Busy,
+
+    /// No call of this writer is under way for the turn.
+    #[error("no such call is under way")]
+    NotStarted,
+
+    /// The budget does not cover the call.
+    #[error("the budget is spent")]
+    Budget,
+
+    /// The key belongs to another call.
+    #[error("the idempotency key belongs to another call of this program")]
+    KeyReused,
+
+    /// The call extends another history.
+    #[error("the history differs")]
+    History,
+}
+
+/// What a batch did to the state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Applied {
+    /// A claim took effect.
+    Claimed,
+
+    /// Records of the owner were folded, up to this number.
+    Folded(Seq),
+
+    /// A former owner reported the fate of a call.
+    Fate,
+
+    /// Nothing counted.
+    Ignored,
+
+    /// The state descends from a snapshot that had been fenced off.
+    Stale,
+}
+
+impl SlotState {
+    /// Folds the batch at `offset`.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Applied {
+        match batch {
+            Batch::Claim { writer, prev } => self.apply_claim(offset, writer, *prev),
+            Batch::Owned {
+                writer,
+                epoch,
+                entries,
+            } => self.apply_owned(writer, *epoch, entries),
+        }
+    }
+
+    fn apply_claim(&mut self, offset: Offset, writer: &Writer, prev: Option<Offset>) -> Applied {
+        if self.epoch() != prev {
+            return Applied::Ignored;
+        }
+        self.claim = Some(Claim {
+            writer: writer.clone(),
+            epoch: offset,
+            last_seq: Seq(0),
+            released_to: None,
+        });
+        Applied::Claimed
+    }
+
+    fn apply_owned(&mut self, writer: &Writer, epoch: Offset, entries: &[Entry]) -> Applied {
+        match self.epoch() {
+            Some(current) if epoch == current => self.apply_current(entries),
+            Some(current) if epoch > current => Applied::Stale,
+            _ => self.apply_former(writer, epoch, entries),
+        }
+    }
+
+    fn apply_current(&mut self, entries: &[Entry]) -> Applied {
+        let mut last = None;
+        for entry in entries {
+            let Some(claim) = &mut self.claim else {
+                break;
+            };
+            if entry.seq != claim.last_seq.next() {
+                continue;
+            }
+            claim.last_seq = entry.seq;
+            last = Some(entry.seq);
+            // The owner checked the record against the same state, so a refusal
+            // here leaves the state as it left the owner's.
+            let _ = self.apply_record(&entry.record);
+        }
+        last.map_or(Applied::Ignored, Applied::Folded)
+    }
+
+    fn apply_former(&mut self, writer: &Writer, epoch: Offset, entries: &[Entry]) -> Applied {
+        let starter = program::Starter {
+            writer: writer.clone(),
+            epoch,
+        };
+        let mut noted = false;
+        for entry in entries {
+            let Record::Finish(f) = &entry.record else {
+                continue;
+            };
+            if let Some(program) = self.programs.get_mut(&f.program) {
+                noted |= program.note_fate(f.turn, &starter, &f.outcome);
+            }
+        }
+        match noted {
+            true => Applied::Fate,
+            false => Applied::Ignored,
+        }
+    }
+
+    /// Offset of the claim in force.
+    pub fn epoch(&self) -> Option<Offset> {
+        self.claim.as_ref().map(|c| c.epoch)
+    }
+
+    /// Folds one record of the owner, or says why it does not count.
+    pub(crate) fn apply_record(&mut self, record: &Record) -> Result<(), Refusal> {
+        match record {
+            Record::Open(open) => self.open(open),
+            Record::Start(start) => self.start(start),
+            Record::Finish(finish) => self.finish(finish),
+            Record::Settle { program, turn } => self.settle_orphan(*program, *turn),
+            Record::Reopen { program, turn } => self.reopen(*program, *turn),
+            Record::Close { program } => self.close(*program),
+            Record::Snapshot(_) => Ok(()),
+            Record::Release { to } => self.release(to),
+        }
+    }
+
+    fn open(&mut self, open: &record::Open) -> Result<(), Refusal> {
+        if self.programs.contains_key(&open.program) {
+            return Err(Refusal::Exists);
+        }
+        if let Some(parent) = open.parent
+            && !self.programs.contains_key(&parent)
+        {
+            return Err(Refusal::NoProgram);
+        }
+        let program = program::Program::new(open);
+        self.programs.insert(open.program, program);
+        Ok(())
+    }
+
+    fn start(&mut self, start: &record::Start) -> Result<(), Refusal> {
+        let claim = self.claim.as_ref().ok_or(Refusal::NotOwner)?;
+        let starter = program::Starter {
+            writer: claim.writer.clone(),
+            epoch: claim.epoch,
+        };
+        let program = self.program_mut(start.program)?;
+        if start.turn != program.next_turn() {
+            return Err(Refusal::Order);
+        }
+        if start.after != program.history {
+            return Err(Refusal::History);
+        }
+        if let Some(key) = &start.key
+            && program.keys.get(key).is_some_and(|t| *t != start.turn)
+        {
+            return Err(Refusal::KeyReused);
+        }
+        if let Some(current) = &program.current {
+            let same_epoch = current.starter.epoch == starter.epoch;
+            if same_epoch || current.repeat == Repeat::NonIdempotent {
+                return Err(Refusal::Busy);
+            }
+        }
+        self.replace_reservation(start)?;
+        let program = self.program_mut(start.program)?;
+        if let Some(key) = &start.key {
+            program.keys.insert(key.clone(), start.turn);
+        }
+        program.current = Some(program::Started {
+            digest: start.digest,
+            starter,
+            reserve: start.reserve,
+            repeat: start.repeat,
+            fate: None,
+        });
+        Ok(())
+    }
+
+    /// Reserves for `start`; what a former owner's attempt had reserved counts as spent.
+    fn replace_reservation(&mut self, start: &record::Start) -> Result<(), Refusal> {
+        let lineage = self.lineage(start.program);
+        let abandoned = self
+            .programs
+            .get(&start.program)
+            .and_then(|p| p.current.as_ref())
+            .map(|c| c.reserve);
+        // An abandoned reservation moves from reserved to spent: what is left stays the same.
+        let fits = lineage
+            .iter()
+            .filter_map(|id| self.programs.get(id))
+            .all(|p| start.reserve.fits(&p.ledger.left()));
+        if !fits {
+            return Err(Refusal::Budget);
+        }
+        if let Some(reserve) = abandoned {
+            self.settle_ledgers(start.program, reserve, reserve);
+        }
+        for id in lineage {
+            if let Some(p) = self.programs.get_mut(&id) {
+                p.ledger.reserve(start.reserve);
+            }
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, finish: &record::Finish) -> Result<(), Refusal> {
+        let epoch = self.epoch().ok_or(Refusal::NotOwner)?;
+        let program = self.program_mut(finish.program)?;
+        if finish.turn != program.next_turn() {
+            return Err(Refusal::Order);
+        }
+        let reserve = match &program.current {
+            Some(c) if c.starter.epoch == epoch => c.reserve,
+            _ => return Err(Refusal::NotStarted),
+        };
+        let key = program.account_key();
+        match &finish.outcome {
+            Outcome::NotRun => {
+                let none = budget::Amount::default();
+                self.settle_ledgers(finish.program, reserve, none);
+                self.program_mut(finish.program)?.current = None;
+            }
+            Outcome::Failed => {
+                self.settle_ledgers(finish.program, reserve, finish.used);
+                self.program_mut(finish.program)?.current = None;
+            }
+            Outcome::Answered(_) => {
+                self.settle_ledgers(finish.program, reserve, finish.used);
+                let used = finish.used.at_most(&reserve);
+                self.program_mut(finish.program)?
+                    .settle(finish.outcome.clone(), used);
+            }
+            Outcome::Unknown => {
+                self.settle_ledgers(finish.program, reserve, reserve);
+                self.program_mut(finish.program)?
+                    .settle(Outcome::Unknown, reserve);
+            }
+        }
+        self.account.charge(&key, finish.cost);
+        Ok(())
+    }
+
+    fn settle_orphan(&mut self, id: ProgramId, turn: Turn) -> Result<(), Refusal> {
+        let (reserve, fate) = self.orphan(id, turn)?;
+        self.settle_ledgers(id, reserve, reserve);
+        let outcome = fate.unwrap_or(Outcome::Unknown);
+        let program = self.program_mut(id)?;
+        program.settle(outcome, reserve);
+        let key = program.account_key();
+        let cost = usage::Cost {
+            unknown: 1,
+            ..usage::Cost::default()
+        };
+        self.account.charge(&key, cost);
+        Ok(())
+    }
+
+    fn reopen(&mut self, id: ProgramId, turn: Turn) -> Result<(), Refusal> {
+        let (reserve, fate) = self.orphan(id, turn)?;
+        if fate != Some(Outcome::NotRun) {
+            return Err(Refusal::Busy);
+        }
+        self.settle_ledgers(id, reserve, budget::Amount::default());
+        self.program_mut(id)?.current = None;
+        Ok(())
+    }
+
+    /// A non-idempotent call under way that a former owner started.
+    fn orphan(
+        &mut self,
+        id: ProgramId,
+        turn: Turn,
+    ) -> Result<(budget::Amount, Option<Outcome>), Refusal> {
+        let epoch = self.epoch().ok_or(Refusal::NotOwner)?;
+        let program = self.program_mut(id)?;
+        if turn != program.next_turn() {
+            return Err(Refusal::Order);
+        }
+        match &program.current {
+            Some(c) if c.starter.epoch != epoch => Ok((c.reserve, c.fate.clone())),
+            _ => Err(Refusal::NotStarted),
+        }
+    }
+
+    fn close(&mut self, id: ProgramId) -> Result<(), Refusal> {
+        if !self.programs.contains_key(&id) {
+            return Err(Refusal::NoProgram);
+        }
+        for id in self.descendants(id) {
+            self.programs.remove(&id);
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, to: &VmId) -> Result<(), Refusal> {
+        let claim = self.claim.as_mut().ok_or(Refusal::NotOwner)?;
+        claim.released_to = Some(to.clone());
+        Ok(())
+    }
+
+    fn program_mut(&mut self, id: ProgramId) -> Result<&mut program::Program, Refusal> {
+        self.programs.get_mut(&id).ok_or(Refusal::NoProgram)
+    }
+
+    fn settle_ledgers(&mut self, id: ProgramId, reserved: budget::Amount, used: budget::Amount) {
+        for id in self.lineage(id) {
+            if let Some(p) = self.programs.get_mut(&id) {
+                p.ledger.settle(reserved, used);
+            }
+        }
+    }
+
+    /// A program and its ancestors, the program first.
+    pub fn lineage(&self, id: ProgramId) -> Vec<ProgramId> {
+        let mut lineage = Vec::new();
+        let mut next = Some(id);
+        while let Some(id) = next {
+            lineage.push(id);
+            next = self.programs.get(&id).and_then(|p| p.parent);
+        }
+        lineage
+    }
+
+    /// A program and all its sub-agents.
+    pub fn descendants(&self, id: ProgramId) -> Vec<ProgramId> {
+        let mut found = vec![id];
+        let mut at = 0;
+        while let Some(parent) = found.get(at).copied() {
+            let children = self
+                .programs
+                .iter()
+                .filter(|(_, p)| p.parent == Some(parent));
+            found.extend(children.map(|(id, _)| *id));
+            at += 1;
+        }
+        found
+    }
+
+    /// The program at the root of `id`'s lineage.
+    pub fn root(&self, id: ProgramId) -> ProgramId {
+        self.lineage(id).last().copied().unwrap_or(id)
+    }
+
+    /// What the program and all its ancestors leave for a new call.
+    pub fn budget_left(&self, id: ProgramId) -> budget::Amount {
+        let max = budget::Amount {
+            tokens: u64::MAX,
+            calls: u64::MAX,
+        };
+        self.lineage(id)
+            .iter()
+            .filter_map(|id| self.programs.get(id))
+            .fold(max, |left, p| left.at_most(&p.ledger.left()))
+    }
+}
+
+/// A reader of a slot's stream, possibly from the middle.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Reader {
+    /// The beginning is gone: a snapshot is awaited.
+    Waiting {
+        /// Epochs that a later claim has replaced, as far as was seen.
+        replaced: Vec<Offset>,
+
+        /// The newest epoch under which records were seen.
+        newest: Option<Offset>,
+    },
+
+    /// The state is whole.
+    Whole(SlotState),
+}
+
+impl Reader {
+    /// A reader from the first record that the log keeps.
+    pub fn new(oldest: Offset) -> Self {
+        match oldest {
+            Offset(0) => Self::Whole(SlotState::default()),
+            _ => Self::waiting(),
+        }
+    }
+
+    fn waiting() -> Self {
+        Self::Waiting {
+            replaced: Vec::new(),
+            newest: None,
+        }
+    }
+
+    /// The state, once it is whole.
+    pub fn state(&self) -> Option<&SlotState> {
+        match self {
+            Self::Whole(state) => Some(state),
+            Self::Waiting { .. } => None,
+        }
+    }
+
+    /// Folds the batch at `offset`.
+    pub fn apply(&mut self, offset: Offset, batch: &Batch) -> Applied {
+        match self {
+            Self::Whole(state) => {
+                let applied = state.apply(offset, batch);
+                if applied == Applied::Stale {
+                    *self = Self::waiting();
+                    self.look_for_snapshot(batch);
+                }
+                applied
+            }
+            Self::Waiting { .. } => {
+                self.look_for_snapshot(batch);
+                Applied::Ignored
+            }
+        }
+    }
+
+    /// Starts from empty when the whole kept stream held no usable snapshot.
+    pub fn give_up_waiting(&mut self) {
+        if matches!(self, Self::Waiting { .. }) {
+            *self = Self::Whole(SlotState::default());
+        }
+    }
+
+    fn look_for_snapshot(&mut self, batch: &Batch) {
+        let Self::Waiting { replaced, newest } = self else {
+            return;
+        };
+        match batch {
+            Batch::Claim { prev, .. } => replaced.extend(prev),
+            Batch::Owned { epoch, entries, .. } => {
+                let fenced = replaced.contains(epoch) || newest.is_some_and(|n| n > *epoch);
+                if fenced {
+                    return;
+                }
+                *newest = Some(*epoch);
+                if let Some(state) = from_snapshot(entries) {
+                    *self = Self::Whole(state);
+                }
+            }
+        }
+    }
+}
+
+fn from_snapshot(entries: &[Entry]) -> Option<SlotState> {
+    let at = entries
+        .iter()
+        .rposition(|e| matches!(e.record, Record::Snapshot(_)))?;
+    let (snapshot, rest) = entries[at..].split_first()?;
+    let Record::Snapshot(state) = &snapshot.record else {
+        return None;
+    };
+    let mut state = SlotState::clone(state);
+    if let Some(claim) = &mut state.claim {
+        claim.last_seq = snapshot.seq;
+    }
+    state.apply_current(rest);
+    Some(state)
+}
--- /dev/null
+++ b/kingcupspan_standin/src/load.rs
@@ -0,0 +1,398 @@
+//! The load driver: programs by an open loop, program latency and goodput out.
+
+use std::{
+    collections::BTreeMap,
+    fs, path,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_std::task;
+use hdrhistogram::Histogram;
+use kingcupspan::{edge::problem::Kind, operators};
+use kingcupspan_core::{digest::Digest, usage::Account};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{
+    caller::{Caller, Chat, Failure},
+    embedded::{self, Deployment, Plan},
+    engine, log_service,
+    scenario::{CallerLoad, Scenario},
+    service,
+};
+
+/// Pause after a refusal that names none.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+
+/// Refusals after which a program is given up.
+const REFUSALS_MAX: u32 = 20;
+
+/// Most turns of a program.
+const TURNS_MAX: u32 = 470;
+
+/// What one caller saw.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Seen {
+    /// Programs started.
+    pub started: u64,
+
+    /// Programs that ended with all their answers.
+    pub finished: u64,
+
+    /// Of these, in time.
+    pub in_time: u64,
+
+    /// Programs given up after refusals.
+    pub given_up: u64,
+
+    /// Requests refused because the caller was over its share.
+    pub refused: u64,
+
+    /// Other failures, by their text.
+    pub failures: BTreeMap<String, u64>,
+
+    /// Answers that were not the right ones.
+    pub wrong: u64,
+
+    /// Program latency at the median, in milliseconds.
+    pub p50_ms: u64,
+
+    /// Program latency at the 95th percentile, in milliseconds.
+    pub p95_ms: u64,
+
+    /// Program latency at the 99th percentile, in milliseconds.
+    pub p99_ms: u64,
+}
+
+/// The result of a scenario.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// By caller.
+    pub callers: BTreeMap<String, Seen>,
+
+    /// Programs finished in time per second of the loaded time.
+    pub goodput_per_s: f64,
+
+    /// What the engines did.
+    pub engines: engine::Done,
+
+    /// Prompt tokens computed again per finished program, from the account.
+    pub recomputed_per_program: f64,
+
+    /// The account, by caller and workspace.
+    pub account: Account,
+
+    /// Appends to the log per second.
+    pub appends_per_s: f64,
+}
+
+struct Tally {
+    seen: Seen,
+    latency: Histogram<u64>,
+}
+
+type Tallies = Arc<parking_lot::Mutex<BTreeMap<String, Tally>>>;
+
+/// Runs a scenario from a file and prints the report.
+pub fn run(file: &path::Path, as_json: bool) -> Result<(), Box<dyn std::error::Error>> {
+    let scenario: Scenario = serde_json::from_str(&fs::read_to_string(file)?)?;
+    let report = task::block_on(measure(&scenario))?;
+    match as_json {
+        true => println!("{}", serde_json::to_string_pretty(&report)?),
+        false => print!("{}", table(&report)),
+    }
+    Ok(())
+}
+
+/// Runs a scenario.
+pub async fn measure(scenario: &Scenario) -> Result<Report, embedded::StartError> {
+    let deployment = embedded::start(plan(scenario)).await?;
+    for daemon in &deployment.daemons {
+        daemon.endpoints.set_policy(scenario.placement);
+        daemon.grants.set_order(scenario.order);
+    }
+    let tallies: Tallies = Arc::default();
+    let begun = Instant::now();
+    let appends = deployment.log.appends();
+    let mut sources = Vec::new();
+    for (n, load) in scenario.callers.iter().enumerate() {
+        tallies.lock().insert(load.caller.clone(), Tally::new());
+        let caller = Caller::new(deployment.entries(), &key(&load.caller));
+        let source = source(
+            scenario.clone(),
+            load.clone(),
+            caller,
+            n as u64,
+            Arc::clone(&tallies),
+        );
+        sources.push(task::spawn(source));
+    }
+    for source in sources {
+        source.await;
+    }
+    let appends = deployment.log.appends() - appends;
+    let appends_per_s = appends as f64 / begun.elapsed().as_secs_f64();
+    let report = report(scenario, &deployment, &tallies, appends_per_s);
+    deployment.drain();
+    Ok(report)
+}
+
+fn key(caller: &str) -> String {
+    format!("load-key-{caller}")
+}
+
+fn plan(scenario: &Scenario) -> Plan {
+    let domains = ["a", "b", "c"];
+    let callers: Vec<Value> = scenario
+        .callers
+        .iter()
+        .map(|c| {
+            json!({
+                "caller": c.caller,
+                "key_sha256": Digest::of(key(&c.caller).as_bytes()).to_string(),
+                "weight": c.weight,
+                "workspaces": ["load"],
+            })
+        })
+        .collect();
+    let exceptions: Vec<Value> = scenario
+        .callers
+        .iter()
+        .map(|c| {
+            json!({
+                "caller": c.caller,
+                "set": {"waiting_calls": c.waiting_calls},
+                "reason": "as the scenario says",
+            })
+        })
+        .collect();
+    let endpoints: Vec<Value> = (0..scenario.engines)
+        .map(|n| {
+            json!({
+                "endpoint": format!("engine-{n}"),
+                "vm": format!("engine-vm-{n}"),
+                "failure_domain": domains[n % 3],
+                "addr": "127.0.0.1:1",
+                "model": "model",
+                "slots": scenario.batch,
+                "cache_tokens": scenario.cache_tokens,
+            })
+        })
+        .collect();
+    Plan {
+        configuration: json!({
+            "defaults": {},
+            "exceptions": exceptions,
+            "callers": callers,
+            "endpoints": endpoints,
+        }),
+        daemons: (0..scenario.daemons)
+            .map(|n| domains[n % 3].to_owned())
+            .collect(),
+        engine: engine::Options {
+            token: Duration::from_micros(scenario.token_us),
+            prompt_token: Duration::from_micros(scenario.prompt_token_us),
+            cache_tokens: scenario.cache_tokens,
+            ..engine::Options::default()
+        },
+        service: service::Options::default(),
+        log: log_service::Options::default(),
+        settings: json!({}),
+    }
+}
+
+/// Starts a caller's programs by a Poisson process.
+async fn source(scenario: Scenario, load: CallerLoad, caller: Caller, n: u64, tallies: Tallies) {
+    let mut rng = StdRng::seed_from_u64(scenario.seed.wrapping_add(n * 1_000_003));
+    let begun = Instant::now();
+    let mut at = 0.0;
+    let mut programs = Vec::new();
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / load.programs_per_s;
+        if at >= scenario.seconds {
+            break;
+        }
+        let due = Duration::from_secs_f64(at);
+        task::sleep(due.saturating_sub(begun.elapsed())).await;
+        let seed = rng.random();
+        programs.push(task::spawn(program(
+            scenario.clone(),
+            load.clone(),
+            caller.clone(),
+            seed,
+            Arc::clone(&tallies),
+        )));
+    }
+    let until = Duration::from_secs_f64(scenario.seconds + scenario.grace_s);
+    let all = async {
+        for program in programs {
+            program.await;
+        }
+    };
+    let left = until.saturating_sub(begun.elapsed());
+    // Programs that have not ended by then do not count as finished.
+    let _ = async_std::future::timeout(left, all).await;
+}
+
+async fn program(
+    scenario: Scenario,
+    load: CallerLoad,
+    caller: Caller,
+    seed: u64,
+    tallies: Tallies,
+) {
+    let begun = Instant::now();
+    note(&tallies, &load, |t| t.seen.started += 1);
+    let result = turns(&load, &caller, seed, &tallies).await;
+    let took = begun.elapsed();
+    note(&tallies, &load, |t| match result {
+        Ok(()) => {
+            t.seen.finished += 1;
+            t.seen.in_time += u64::from(took.as_secs_f64() <= scenario.in_time_s);
+            t.latency.saturating_record(took.as_millis() as u64);
+        }
+        Err(Failure::Wrong(_)) => t.seen.wrong += 1,
+        Err(f) if f.kind() == Some(Kind::OverShare) => t.seen.given_up += 1,
+        Err(f) => *t.seen.failures.entry(failure_name(&f)).or_default() += 1,
+    });
+}
+
+fn failure_name(failure: &Failure) -> String {
+    match failure {
+        Failure::Problem(p) => p.kind.to_string(),
+        Failure::Send(_) => "connection".to_owned(),
+        Failure::Wrong(_) => "wrong".to_owned(),
+    }
+}
+
+async fn turns(
+    load: &CallerLoad,
+    caller: &Caller,
+    seed: u64,
+    tallies: &Tallies,
+) -> Result<(), Failure> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut program = caller.open("load", None, None).await?;
+    let mut turn = 0;
+    loop {
+        let words: Vec<String> = (0..load.prompt_words)
+            .map(|_| format!("{:04x}", rng.random::<u16>()))
+            .collect();
+        let text = format!("decode={} {}", load.decode_tokens, words.join(" "));
+        let chat = Chat {
+            model: "model",
+            text: &text,
+            max_tokens: load.decode_tokens,
+            stream: true,
+        };
+        let mut refusals = 0;
+        loop {
+            match caller.chat(&mut program, &chat).await {
+                Ok(_) => break,
+                Err(f) => {
+                    refusals += 1;
+                    pause_or_give_up(f, refusals, load, tallies).await?;
+                }
+            }
+        }
+        turn += 1;
+        if turn >= TURNS_MAX || rng.random::<f64>() < 1.0 / load.turns {
+            break;
+        }
+        let pause_ms = -(1.0 - rng.random::<f64>()).ln() * load.pause_ms;
+        task::sleep(Duration::from_secs_f64(pause_ms / 1_000.0)).await;
+    }
+    caller.close(&program).await
+}
+
+/// Obeys a refusal for some time; other failures end the program.
+async fn pause_or_give_up(
+    failure: Failure,
+    refusals: u32,
+    load: &CallerLoad,
+    tallies: &Tallies,
+) -> Result<(), Failure> {
+    let Failure::Problem(problem) = &failure else {
+        return Err(failure);
+    };
+    if problem.kind != Kind::OverShare || refusals > REFUSALS_MAX {
+        return Err(failure);
+    }
+    note(tallies, load, |t| t.seen.refused += 1);
+    let pause = problem.retry_after.map(Duration::from_secs);
+    task::sleep(pause.unwrap_or(REFUSED_PAUSE)).await;
+    Ok(())
+}
+
+impl Tally {
+    fn new() -> Self {
+        Self {
+            seen: Seen::default(),
+            latency: Histogram::new(3).expect("three significant digits are valid"),
+        }
+    }
+}
+
+fn note(tallies: &Tallies, load: &CallerLoad, f: impl FnOnce(&mut Tally)) {
+    if let Some(tally) = tallies.lock().get_mut(&load.caller) {
+        f(tally);
+    }
+}
+
+fn report(
+    scenario: &Scenario,
+    deployment: &Deployment,
+    tallies: &Tallies,
+    appends_per_s: f64,
+) -> Report {
+    let mut callers = BTreeMap::new();
+    for (name, tally) in tallies.lock().iter() {
+        let mut seen = tally.seen.clone();
+        seen.p50_ms = tally.latency.value_at_quantile(0.5);
+        seen.p95_ms = tally.latency.value_at_quantile(0.95);
+        seen.p99_ms = tally.latency.value_at_quantile(0.99);
+        callers.insert(name.clone(), seen);
+    }
+    let account = deployment.daemons.first().map(|d| operators::account(d));
+    let account = account.unwrap_or_default();
+    let recomputed: u64 = account.0.values().map(|c| c.recomputed_tokens).sum();
+    let finished: u64 = callers.values().map(|s: &Seen| s.finished).sum();
+    let in_time: u64 = callers.values().map(|s| s.in_time).sum();
+    Report {
+        goodput_per_s: in_time as f64 / scenario.seconds,
+        recomputed_per_program: recomputed as f64 / finished.max(1) as f64,
+        engines: deployment.engines_done(),
+        account,
+        appends_per_s,
+        callers,
+    }
+}
+
+fn table(report: &Report) -> String {
+    let mut table = String::new();
+    table.push_str("caller            started finished in_time refused given_up wrong  p50_ms  p95_ms  p99_ms\n");
+    for (name, s) in &report.callers {
+        table.push_str(&format!(
+            "{name:<18}{:>7}{:>9}{:>8}{:>8}{:>9}{:>6}{:>8}{:>8}{:>8}\n",
+            s.started,
+            s.finished,
+            s.in_time,
+            s.refused,
+            s.given_up,
+            s.wrong,
+            s.p50_ms,
+            s.p95_ms,
+            s.p99_ms
+        ));
+        for (failure, count) in &s.failures {
+            table.push_str(&format!("  failed {count} times: {failure}\n"));
+        }
+    }
+    table.push_str(&format!(
+        "goodput {:.2} programs/s, computed again {:.0} tokens/program, {:.1} appends/s\n",
+        report.goodput_per_s, report.recomputed_per_program, report.appends_per_s
+    ));
+    table
+}
