--- a/kingcupspan/src/controller/cache.rs
+++ b/kingcupspan/src/controller/cache.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use kingcupspan_config::endpoint::Endpoint;
-use kingcupspan_core::id::{EndpointId, MonoMs, Offset, ProgramId};
+use kingcupspan_core::id::{EndpointId, Fence, MonoMs, ProgramId, Seq};
 
 use crate::{daemon::Daemon, edge::endpoint};
 
@@ -92,7 +92,7 @@
 }
 
 /// Releases a closed program's memory at once on the engines that served it here.
-pub async fn release_closed(daemon: Arc<Daemon>, programs: Vec<ProgramId>, fence: Offset) {
+pub async fn release_closed(daemon: Arc<Daemon>, programs: Vec<ProgramId>, fence: Fence) {
     let configuration = daemon.configuration.get().configuration;
     for program in programs {
         for name in daemon.cache.forget(program) {
@@ -103,7 +103,7 @@
     }
 }
 
-async fn release(daemon: &Daemon, engine: &Endpoint, program: ProgramId, fence: Offset) {
+async fn release(daemon: &Daemon, engine: &Endpoint, program: ProgramId, fence: Fence) {
     let name = engine.endpoint.as_str();
     match endpoint::release_cache(&daemon.client, engine.addr, program, fence).await {
         Ok(()) => daemon.metrics.cache_releases.inc(),
@@ -127,7 +127,7 @@
     }
 }
 
-fn take_due(daemon: &Daemon, now: MonoMs) -> Vec<(Endpoint, ProgramId, Offset)> {
+fn take_due(daemon: &Daemon, now: MonoMs) -> Vec<(Endpoint, ProgramId, Fence)> {
     let mut due = Vec::new();
     let mut reported = daemon.cache.reported.lock();
     for ((_, program), entry) in reported.iter_mut() {
@@ -145,7 +145,7 @@
 }
 
 /// The slot's fencing number if the program is known to be gone.
-fn fence_if_gone(daemon: &Daemon, program: ProgramId, now: MonoMs) -> Option<Offset> {
+fn fence_if_gone(daemon: &Daemon, program: ProgramId, now: MonoMs) -> Option<Fence> {
     let cell = daemon.slot(program.slot)?;
     let read_at = cell.read_at()?;
     if now.since(read_at) > READ_MAX_MS || daemon.log_health.is_away(now) {
@@ -153,6 +153,7 @@
     }
     cell.with_state(|s| match s.programs.contains_key(&program) {
         true => None,
-        false => s.epoch(),
+        // No later call can carry a higher number: the program is over.
+        false => s.epoch().map(|epoch| Fence::new(epoch, Seq(u64::MAX))),
     })?
 }
--- a/kingcupspan/src/controller/drain.rs
+++ b/kingcupspan/src/controller/drain.rs
@@ -69,7 +69,7 @@
 
 fn owned(daemon: &Daemon) -> usize {
     let slots = daemon.slots.iter();
-    slots.filter(|c| c.with_owner(|_| ()).is_some()).count()
+    slots.filter(|c| c.is_serving()).count()
 }
 
 fn has_successor(daemon: &Daemon) -> bool {
--- a/kingcupspan/src/controller/leases.rs
+++ b/kingcupspan/src/controller/leases.rs
@@ -6,15 +6,13 @@
 use kingcupspan_core::{
     id::{MonoMs, VmId},
     membership::Decision,
-    record::{Batch, Record, Repeat},
+    program::Program,
+    record::{Batch, Outcome, Record, Repeat},
+    replica::Durability,
     slot::Claim,
 };
 
-use crate::{
-    controller::slots::{self, Cell, Durability},
-    daemon::Daemon,
-    edge::peer,
-};
+use crate::{controller::slots::Cell, daemon::Daemon, edge::peer};
 
 /// Time between looks at all slots.
 const TICK: Duration = Duration::from_millis(50);
@@ -50,14 +48,18 @@
     loop {
         task::sleep(TICK).await;
         let now = daemon.clock.mono();
-        if cell.with_owner(|_| ()).is_none() {
+        if !cell.is_serving() {
             owner_since = now;
         }
         if !is_current(&daemon, cell, now) {
             continue;
         }
         let claim = cell.claim();
-        match daemon.membership.decide(cell.slot, claim.as_ref(), now) {
+        let owning = cell.is_owning();
+        match daemon
+            .membership
+            .decide(cell.slot, claim.as_ref(), owning, now)
+        {
             Decision::Claim => claim_slot(&daemon, cell, claim.as_ref()).await,
             Decision::HandOver(to) => hand_over(&daemon, cell, to).await,
             Decision::Keep => {}
@@ -99,7 +101,7 @@
 
 /// Lets calls end, then releases the slot to another daemon.
 pub async fn hand_over(daemon: &Arc<Daemon>, cell: &Cell, to: VmId) {
-    if cell.with_owner(|_| ()).is_none() {
+    if !cell.is_serving() {
         return;
     }
     cell.set_handing_over(true);
@@ -115,9 +117,7 @@
     let committed = cell.commit(proposed, Durability::Log, RELEASE_MAX).await;
     log::info!(slot = cell.slot.0, to = to.as_str(), committed = committed.is_ok(); "slot released");
     let claimed = cell
-        .wait(RELEASE_MAX, || {
-            cell.with_owner(|_| ()).is_none().then_some(())
-        })
+        .wait(RELEASE_MAX, || (!cell.is_serving()).then_some(()))
         .await;
     if claimed.is_none() {
         // The claim is still ours; whoever is the candidate claims it anew.
@@ -134,7 +134,7 @@
         let orphaned = programs.filter(|(_, p)| {
             p.current.as_ref().is_some_and(|c| {
                 c.repeat == Repeat::NonIdempotent
-                    && c.starter.epoch != epoch
+                    && c.starter.start.epoch != epoch
                     && !daemon
                         .membership
                         .is_alive(&c.starter.writer, daemon.clock.mono())
@@ -143,13 +143,19 @@
         let orphaned = orphaned.map(|(id, p)| Record::Settle {
             program: *id,
             turn: p.next_turn(),
+            outcome: fate(p),
         });
         orphaned.collect::<Vec<Record>>()
     });
     for record in orphans.unwrap_or_default() {
-        let proposed: Result<slots::Proposed, _> = cell.propose(record);
-        if proposed.is_ok() {
+        if cell.propose(record).is_ok() {
             daemon.metrics.orphans_settled.inc();
         }
     }
 }
+
+/// What is known of a program's call under way.
+fn fate(program: &Program) -> Outcome {
+    let known = program.current.as_ref().and_then(|c| c.fate.clone());
+    known.unwrap_or(Outcome::Unknown)
+}
--- a/kingcupspan/src/controller/membership.rs
+++ b/kingcupspan/src/controller/membership.rs
@@ -124,6 +124,11 @@
         self.inner.read().view.is_alive(writer, now)
     }
 
+    /// Whether any incarnation of a daemon on this VM answers.
+    pub fn answers(&self, vm: &VmId, now: MonoMs) -> bool {
+        self.inner.read().view.alive(now).contains(&vm)
+    }
+
     /// Whether the platform has listed this VM's daemon as gone: not at all.
     pub fn is_listed(&self, vm: &VmId) -> bool {
         let inner = self.inner.read();
@@ -152,8 +157,14 @@
     }
 
     /// What this daemon should do about a slot.
-    pub fn decide(&self, slot: Slot, claim: Option<&slot::Claim>, now: MonoMs) -> Decision {
-        self.inner.read().view.decide(slot, claim, now)
+    pub fn decide(
+        &self,
+        slot: Slot,
+        claim: Option<&slot::Claim>,
+        owning: bool,
+        now: MonoMs,
+    ) -> Decision {
+        self.inner.read().view.decide(slot, claim, owning, now)
     }
 
     /// Declares that this daemon is stopping.
--- a/kingcupspan/src/controller/slots.rs
+++ b/kingcupspan/src/controller/slots.rs
@@ -1,27 +1,22 @@
 //! Slots: follow their streams, append what their owner proposes.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use async_std::{future, task};
 use event_listener::Event;
 use futures_lite::FutureExt;
 use kingcupspan_core::{
-    id::{MonoMs, Offset, ProgramId, Seq, Slot, Writer},
-    owner::{self, Owner},
-    record::{Batch, Entry, Record},
-    slot::{self, Claim, Reader, Refusal},
+    id::{MonoMs, Offset, ProgramId, Slot, Writer},
+    owner::Owner,
+    program::Program,
+    record::{Batch, Entry, Record, RecordId},
+    replica::{Copied, Durability, Gathering, Progress, ProposeError, Replica},
+    slot::{Claim, SlotState},
 };
 
 use crate::{
     daemon::Daemon,
-    edge::{
-        peer::{self, Copied},
-        platform::LogError,
-    },
+    edge::{peer, platform::LogError},
 };
 
 /// Records in one append.
@@ -56,31 +51,11 @@
     proposed: Event,
 }
 
-/// What a daemon is to a slot.
-pub enum Role {
-    /// It folds the stream.
-    Following(Reader),
-
-    /// It owns the slot; until `serving` it still gathers copies from peers.
-    Owning {
-        /// The owner's side of the slot.
-        owner: Box<Owner>,
-
-        /// Whether calls are taken.
-        serving: bool,
-    },
-}
-
 struct Inner {
-    role: Role,
-    next: Offset,
+    replica: Replica,
     read_at: Option<MonoMs>,
-    replaced: Option<Claim>,
     handing_over: bool,
     snapshot_at: MonoMs,
-    lost: Option<Offset>,
-    copied: Seq,
-    copies: BTreeMap<(Offset, Seq), (Writer, Entry)>,
     running: BTreeSet<ProgramId>,
 }
 
@@ -96,38 +71,6 @@
     TimedOut,
 }
 
-/// How durable a record has to be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Durability {
-    /// On the log, or kept by peers while the log is away.
-    LogOrCopies,
-
-    /// On the log.
-    Log,
-}
-
-/// A proposed record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Proposed {
-    /// Fencing number of the owner.
-    pub epoch: Offset,
-
-    /// The record's number.
-    pub seq: Seq,
-}
-
-/// Why a record was not proposed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum ProposeError {
-    /// This daemon does not serve the slot.
-    #[error("the slot is owned by another daemon")]
-    NotServing,
-
-    /// The state does not allow it.
-    #[error(transparent)]
-    Refused(#[from] Refusal),
-}
-
 /// State of a slot for the dump.
 #[derive(Debug, Clone, serde::Serialize)]
 pub struct Summary {
@@ -154,20 +97,15 @@
 }
 
 impl Cell {
-    /// A slot whose stream has not been read.
-    pub fn new(slot: Slot) -> Self {
+    /// A slot whose stream has not been read by `me`.
+    pub fn new(slot: Slot, me: &Writer) -> Self {
         Self {
             slot,
             inner: parking_lot::Mutex::new(Inner {
-                role: Role::Following(Reader::new(Offset(0))),
-                next: Offset(0),
+                replica: Replica::new(me.clone()),
                 read_at: None,
-                replaced: None,
                 handing_over: false,
                 snapshot_at: MonoMs(0),
-                lost: None,
-                copied: Seq(0),
-                copies: BTreeMap::new(),
                 running: BTreeSet::new(),
             }),
             changed: Event::new(),
@@ -180,29 +118,28 @@
     }
 
     /// Runs `f` on the folded state, if it is whole.
-    pub fn with_state<R>(&self, f: impl FnOnce(&slot::SlotState) -> R) -> Option<R> {
-        let inner = self.inner.lock();
-        match &inner.role {
-            Role::Following(reader) => reader.state().map(f),
-            Role::Owning { owner, .. } => Some(f(owner.state())),
-        }
+    pub fn with_state<R>(&self, f: impl FnOnce(&SlotState) -> R) -> Option<R> {
+        self.inner.lock().replica.state().map(f)
     }
 
     /// Runs `f` on the owner's side if this daemon serves the slot.
     pub fn with_owner<R>(&self, f: impl FnOnce(&Owner) -> R) -> Option<R> {
-        let inner = self.inner.lock();
-        match &inner.role {
-            Role::Owning {
-                owner,
-                serving: true,
-            } => Some(f(owner)),
-            _ => None,
-        }
+        self.inner.lock().replica.serving().map(f)
+    }
+
+    /// Whether this daemon serves the slot.
+    pub fn is_serving(&self) -> bool {
+        self.inner.lock().replica.serving().is_some()
+    }
+
+    /// Whether this daemon owns the slot, serving or not.
+    pub fn is_owning(&self) -> bool {
+        self.inner.lock().replica.owner().is_some()
     }
 
     /// The claim in force.
     pub fn claim(&self) -> Option<Claim> {
-        self.with_state(|s| s.claim.clone()).flatten()
+        self.inner.lock().replica.claim().cloned()
     }
 
     /// Whether new calls have to wait for a handover.
@@ -211,43 +148,34 @@
     }
 
     /// Proposes a record.
-    pub fn propose(&self, record: Record) -> Result<Proposed, ProposeError> {
-        let mut inner = self.inner.lock();
-        let Role::Owning {
-            owner,
-            serving: true,
-        } = &mut inner.role
-        else {
-            return Err(ProposeError::NotServing);
-        };
-        let seq = owner.propose(record)?;
-        let epoch = owner.epoch();
-        drop(inner);
+    pub fn propose(&self, record: Record) -> Result<RecordId, ProposeError> {
+        let proposed = self.inner.lock().replica.propose(record)?;
+        self.proposed.notify(usize::MAX);
+        Ok(proposed)
+    }
+
+    /// Proposes a record that belongs to one epoch and to no later one.
+    pub fn propose_in(&self, epoch: Offset, record: Record) -> Result<RecordId, ProposeError> {
+        let proposed = self.inner.lock().replica.propose_in(epoch, record)?;
         self.proposed.notify(usize::MAX);
-        Ok(Proposed { epoch, seq })
+        Ok(proposed)
     }
 
     /// Waits until a proposed record is durable.
     pub async fn commit(
         &self,
-        proposed: Proposed,
+        proposed: RecordId,
         durability: Durability,
         patience: Duration,
     ) -> Result<(), CommitError> {
-        let done = self.wait(patience, || {
-            let inner = self.inner.lock();
-            match &inner.role {
-                Role::Owning { owner, .. } if owner.epoch() == proposed.epoch => {
-                    let durable = match durability {
-                        Durability::Log => owner.committed(),
-                        Durability::LogOrCopies => owner.committed().max(inner.copied),
-                    };
-                    (durable >= proposed.seq).then_some(Ok(()))
-                }
-                _ => Some(Err(CommitError::Lost)),
+        let ended = self.wait(patience, || {
+            match self.inner.lock().replica.progress(proposed, durability) {
+                Progress::Durable => Some(Ok(())),
+                Progress::Lost => Some(Err(CommitError::Lost)),
+                Progress::Pending => None,
             }
         });
-        done.await.unwrap_or(Err(CommitError::TimedOut))
+        ended.await.unwrap_or(Err(CommitError::TimedOut))
     }
 
     /// Waits until `ready` returns something; it is asked after each change.
@@ -277,44 +205,34 @@
     }
 
     /// Folds a batch read from the log, or acknowledged at the next offset.
-    fn fold(&self, offset: Offset, batch: &Batch, me: &Writer, now: MonoMs) {
+    fn fold(&self, offset: Offset, batch: &Batch, now: MonoMs) {
         let mut inner = self.inner.lock();
-        if offset != inner.next {
+        let owned = inner.replica.owner().is_some();
+        if !inner.replica.fold(offset, batch) {
             return;
         }
-        inner.next = offset.next();
-        inner.fold(offset, batch, me, now);
-        drop(inner);
-        self.notify();
-    }
-
-    /// Begins anew at the oldest record that the log keeps.
-    fn restart(&self, oldest: Offset) {
-        let mut inner = self.inner.lock();
-        if let Role::Owning { .. } = inner.role {
-            // An owner's own state is whole; it only skips what has expired.
-            inner.next = inner.next.max(oldest);
-            return;
+        if contains_snapshot(batch) {
+            inner.snapshot_at = now;
         }
-        let whole = matches!(&inner.role, Role::Following(r) if r.state().is_some());
-        if whole && oldest <= inner.next {
-            return;
+        if owned != inner.replica.owner().is_some() {
+            inner.handing_over = false;
         }
-        inner.role = Role::Following(Reader::new(oldest));
-        inner.next = oldest;
+        if owned && inner.replica.owner().is_none() {
+            inner.read_at = None;
+        }
+        drop(inner);
+        self.notify();
     }
 
     /// Notes that everything that was on the log at `now` has been read.
     fn caught_up(&self, now: MonoMs) {
         let mut inner = self.inner.lock();
         inner.read_at = Some(now);
-        if let Role::Following(reader) = &mut inner.role {
-            reader.give_up_waiting();
-        }
+        inner.replica.end_reached();
     }
 
     fn next(&self) -> Offset {
-        self.inner.lock().next
+        self.inner.lock().replica.next()
     }
 
     /// When the stream was last known to be read to its end.
@@ -323,70 +241,25 @@
     }
 
     fn batch(&self) -> Option<Batch> {
-        let inner = self.inner.lock();
-        match &inner.role {
-            Role::Owning { owner, .. } => owner.batch(BATCH_MAX),
-            Role::Following(_) => None,
-        }
-    }
-
-    fn lacks_copies(&self, batch: &Batch) -> bool {
-        let copied = self.inner.lock().copied;
-        match batch {
-            Batch::Owned { entries, .. } => entries.iter().any(|e| e.seq > copied),
-            Batch::Claim { .. } => false,
-        }
-    }
-
-    fn is_committed(&self, epoch: Offset, seq: Seq) -> bool {
-        let inner = self.inner.lock();
-        match &inner.role {
-            Role::Owning { owner, .. } if owner.epoch() == epoch => owner.committed() >= seq,
-            _ => true,
-        }
+        self.inner.lock().replica.batch(BATCH_MAX)
     }
 
     /// Keeps records for an owner that cannot reach the log.
     pub fn keep_copy(&self, copy: peer::Copy) -> Copied {
         let mut inner = self.inner.lock();
-        let known = inner.epoch();
-        if known.is_some_and(|epoch| epoch > copy.epoch) {
-            return Copied::Fenced;
-        }
-        for entry in copy.entries {
-            let key = (copy.epoch, entry.seq);
-            inner.copies.insert(key, (copy.writer.clone(), entry));
-        }
-        Copied::Kept
+        inner.replica.keep_copies(copy.epoch, copy.entries)
     }
 
-    /// The kept records of an epoch, in order.
-    pub fn copies(&self, epoch: Offset) -> Vec<Entry> {
-        let inner = self.inner.lock();
-        let range = (epoch, Seq(0))..=(epoch, Seq(u64::MAX));
-        let entries = inner.copies.range(range).map(|(_, (_, entry))| entry);
-        entries.cloned().collect()
+    /// Hands out the kept records of an epoch and keeps no more of it.
+    pub fn seal_copies(&self, epoch: Offset) -> Vec<Entry> {
+        self.inner.lock().replica.seal_copies(epoch)
     }
 
     /// Begins to serve with the records that peers kept of the former owner.
-    fn adopt_and_serve(&self, epoch: Offset, replaced: Option<&Claim>, mut copies: Vec<Entry>) {
-        let mut inner = self.inner.lock();
-        let Role::Owning { owner, serving } = &mut inner.role else {
-            return;
-        };
-        if owner.epoch() != epoch {
-            return;
-        }
-        copies.sort_by_key(|e| e.seq);
-        copies.dedup_by_key(|e| e.seq);
-        let after = replaced.map_or(Seq(0), |c| c.last_seq);
-        copies.retain(|e| e.seq > after);
-        let adopted = owner.adopt(&copies);
-        *serving = true;
-        drop(inner);
-        if adopted > 0 {
-            log::info!(slot = self.slot.0, records = adopted; "adopted copies of the former owner");
-        }
+    fn serve(&self, gathering: &Gathering, copies: Vec<Entry>) {
+        let adopted = self.inner.lock().replica.serve(gathering, copies);
+        let epoch = gathering.epoch.0;
+        log::info!(slot = self.slot.0, epoch = epoch, adopted = adopted; "owns the slot");
         self.proposed.notify(usize::MAX);
         self.notify();
     }
@@ -397,9 +270,11 @@
         self.notify();
     }
 
-    /// Takes the right to run the program's next turn; false if it is taken.
+    /// Takes the right to run the program's next turn; false if it is taken
+    /// or the slot is being handed over.
     pub fn begin_run(&self, program: ProgramId) -> bool {
-        self.inner.lock().running.insert(program)
+        let mut inner = self.inner.lock();
+        !inner.handing_over && inner.running.insert(program)
     }
 
     /// Gives that right back.
@@ -415,8 +290,10 @@
         }
         self.with_owner(|o| {
             let epoch = o.epoch();
-            let running = |p: &kingcupspan_core::program::Program| {
-                p.current.as_ref().is_some_and(|c| c.starter.epoch == epoch)
+            let running = |p: &Program| {
+                p.current
+                    .as_ref()
+                    .is_some_and(|c| c.starter.start.epoch == epoch)
             };
             o.pending().len() == 0 && !o.state().programs.values().any(running)
         })
@@ -426,101 +303,22 @@
     /// The slot's state for the dump.
     pub fn summary(&self) -> Summary {
         let inner = self.inner.lock();
-        let (role, state, pending) = match &inner.role {
-            Role::Following(reader) => match reader.state() {
-                Some(state) => ("following", Some(state), 0),
-                None => ("waiting for a snapshot", None, 0),
-            },
-            Role::Owning { owner, serving } => {
-                let role = match serving {
-                    true => "owning",
-                    false => "gathering copies",
-                };
-                (role, Some(owner.state()), owner.pending().len())
-            }
+        let replica = &inner.replica;
+        let role = match (replica.state(), replica.owner(), replica.serving()) {
+            (None, _, _) => "waiting for a snapshot",
+            (_, None, _) => "following",
+            (_, Some(_), None) => "gathering copies",
+            (_, Some(_), Some(_)) => "owning",
         };
         Summary {
             slot: self.slot,
             role,
-            claim: state.and_then(|s| s.claim.clone()),
-            next: inner.next,
-            pending,
-            copies: inner.copies.len(),
-            programs: state.map_or(0, |s| s.programs.len()),
-        }
-    }
-}
-
-impl Inner {
-    fn epoch(&self) -> Option<Offset> {
-        match &self.role {
-            Role::Following(reader) => reader.state().and_then(slot::SlotState::epoch),
-            Role::Owning { owner, .. } => Some(owner.epoch()),
-        }
-    }
-
-    fn fold(&mut self, offset: Offset, batch: &Batch, me: &Writer, now: MonoMs) {
-        self.drop_copies(batch);
-        if contains_snapshot(batch) {
-            self.snapshot_at = now;
-        }
-        match &mut self.role {
-            Role::Following(reader) => {
-                let before = reader.state().and_then(|s| s.claim.clone());
-                if reader.apply(offset, batch) == slot::Applied::Claimed {
-                    self.replaced = before;
-                    self.take_over(me);
-                }
-            }
-            Role::Owning { owner, .. } => {
-                if owner.read_back(offset, batch) == owner::Event::Lost {
-                    self.lose();
-                }
-            }
-        }
-    }
-
-    /// Becomes the owner if the claim just folded is this daemon's.
-    fn take_over(&mut self, me: &Writer) {
-        let Role::Following(reader) = &self.role else {
-            return;
-        };
-        let Some(owner) = reader.state().and_then(|s| Owner::new(s.clone(), me)) else {
-            return;
-        };
-        // An epoch that was lost is read again from the log as any other's.
-        if self.lost.is_some_and(|lost| owner.epoch() <= lost) {
-            return;
-        }
-        self.copied = Seq(0);
-        self.handing_over = false;
-        self.role = Role::Owning {
-            owner: Box::new(owner),
-            serving: false,
-        };
-    }
-
-    /// Follows again from the beginning: the state ran ahead of the log.
-    fn lose(&mut self) {
-        if let Role::Owning { owner, .. } = &self.role {
-            self.lost = Some(owner.epoch());
-        }
-        self.role = Role::Following(Reader::new(Offset(0)));
-        self.next = Offset(0);
-        self.read_at = None;
-        self.handing_over = false;
-        self.copied = Seq(0);
-    }
-
-    fn drop_copies(&mut self, batch: &Batch) {
-        let Batch::Owned { epoch, entries, .. } = batch else {
-            return;
-        };
-        for entry in entries {
-            self.copies.remove(&(*epoch, entry.seq));
+            claim: replica.claim().cloned(),
+            next: replica.next(),
+            pending: replica.owner().map_or(0, |o| o.pending().len()),
+            copies: replica.copies_len(),
+            programs: replica.state().map_or(0, |s| s.programs.len()),
         }
-        // Copies of epochs before this one have been adopted or are void.
-        self.copies.retain(|(kept, _), _| kept >= epoch);
     }
 }
 
@@ -565,12 +363,12 @@
                 daemon.log_health.read_worked();
                 for stored in records {
                     match rmp_serde::from_slice(&stored.bytes) {
-                        Ok(batch) => cell.fold(stored.offset, &batch, &daemon.writer, now),
+                        Ok(batch) => cell.fold(stored.offset, &batch, now),
                         Err(e) => skip_unreadable(cell, stored.offset, &e),
                     }
                 }
             }
-            Err(LogError::Expired { oldest }) => cell.restart(oldest),
+            Err(LogError::Expired { oldest }) => cell.inner.lock().replica.restart(oldest),
             Err(e) => {
                 daemon.metrics.log_errors.inc();
                 daemon.log_health.read_failed(now);
@@ -585,10 +383,7 @@
 fn skip_unreadable(cell: &Cell, offset: Offset, e: &rmp_serde::decode::Error) {
     log::error!(slot = cell.slot.0, offset = offset.0, error = e.to_string().as_str();
         "a record of the log cannot be read and is skipped");
-    let mut inner = cell.inner.lock();
-    if inner.next == offset {
-        inner.next = offset.next();
-    }
+    cell.inner.lock().replica.skip(offset);
 }
 
 /// Appends what the owner proposes.
@@ -613,7 +408,7 @@
     match daemon.log.append(stream, peer::encode(batch)).await {
         Ok(offset) => {
             daemon.log_health.append_worked();
-            cell.fold(offset, batch, &daemon.writer, daemon.clock.mono());
+            cell.fold(offset, batch, daemon.clock.mono());
             await_read_back(cell, batch).await;
         }
         Err(LogError::Limited) => task::sleep(LOG_BACKOFF).await,
@@ -636,7 +431,11 @@
         return;
     };
     cell.wait(READ_BACK_MAX, || {
-        cell.is_committed(*epoch, last.seq).then_some(())
+        cell.inner
+            .lock()
+            .replica
+            .is_past(*epoch, last.seq)
+            .then_some(())
     })
     .await;
 }
@@ -648,7 +447,10 @@
         let changed = cell.changed.listen();
         let proposed = cell.proposed.listen();
         let away = daemon.log_health.is_away(daemon.clock.mono());
-        match cell.batch().filter(|b| away && cell.lacks_copies(b)) {
+        match cell
+            .batch()
+            .filter(|b| away && cell.inner.lock().replica.lacks_copies(b))
+        {
             Some(batch) if copy_to_peers(&daemon, cell, &batch).await => {}
             Some(_) => task::sleep(LOG_BACKOFF).await,
             None => changed.race(proposed).await,
@@ -695,9 +497,7 @@
         }
     }
     if kept > 0 {
-        let mut inner = cell.inner.lock();
-        inner.copied = inner.copied.max(last.seq);
-        drop(inner);
+        cell.inner.lock().replica.copies_kept(*epoch, last.seq);
         cell.notify();
     }
     kept > 0
@@ -708,49 +508,25 @@
     let cell = &daemon.slots[n];
     loop {
         let changed = cell.changed.listen();
-        let gathering = {
-            let inner = cell.inner.lock();
-            match &inner.role {
-                Role::Owning {
-                    owner,
-                    serving: false,
-                } => Some((owner.epoch(), inner.replaced.clone())),
-                _ => None,
-            }
-        };
-        let Some((epoch, replaced)) = gathering else {
+        let Some(gathering) = cell.inner.lock().replica.gathering() else {
             changed.await;
             continue;
         };
         let mut copies = Vec::new();
-        if let Some(former) = &replaced {
-            copies.extend(cell.copies(former.epoch));
+        if let Some(former) = &gathering.replaced {
+            copies.extend(cell.seal_copies(former.epoch));
             copies.extend(ask_for_copies(&daemon, cell.slot, former.epoch).await);
         }
-        cell.adopt_and_serve(epoch, replaced.as_ref(), copies);
-        log::info!(slot = cell.slot.0, epoch = epoch.0; "owns the slot");
+        cell.serve(&gathering, copies);
     }
 }
 
 async fn ask_for_copies(daemon: &Arc<Daemon>, slot: Slot, epoch: Offset) -> Vec<Entry> {
-    let message = peer::Copies { slot, epoch };
     let peers = daemon.membership.peers(daemon.clock.mono());
-    let asked = peers.into_iter().map(|to| {
-        let daemon = Arc::clone(daemon);
-        let message = message.clone();
-        task::spawn(async move {
-            let ask = peer::ask(
-                &daemon.client,
-                to.addr,
-                peer::COPIES,
-                &message,
-                COPY_PATIENCE,
-            );
-            let answer: Result<Vec<Entry>, _> = ask.await;
-            answer.unwrap_or_default()
-        })
-    });
-    let asked: Vec<_> = asked.collect();
+    let asked: Vec<_> = peers
+        .into_iter()
+        .map(|to| task::spawn(ask_one_for_copies(Arc::clone(daemon), to, slot, epoch)))
+        .collect();
     let mut copies = Vec::new();
     for answer in asked {
         copies.extend(answer.await);
@@ -758,6 +534,34 @@
     copies
 }
 
+/// Asks a peer for as long as it counts as alive: it may hold what a caller
+/// has been told to be kept.
+async fn ask_one_for_copies(
+    daemon: Arc<Daemon>,
+    to: peer::Peer,
+    slot: Slot,
+    epoch: Offset,
+) -> Vec<Entry> {
+    let message = peer::Copies { slot, epoch };
+    loop {
+        let ask = peer::ask(
+            &daemon.client,
+            to.addr,
+            peer::COPIES,
+            &message,
+            COPY_PATIENCE,
+        );
+        let answer: Result<Vec<Entry>, _> = ask.await;
+        match answer {
+            Ok(entries) => return entries,
+            Err(_) if daemon.membership.answers(&to.vm, daemon.clock.mono()) => {
+                task::sleep(LOG_BACKOFF).await;
+            }
+            Err(_) => return Vec::new(),
+        }
+    }
+}
+
 /// Writes snapshots well before the last one expires.
 async fn snapshot(daemon: Arc<Daemon>, n: usize) {
     let cell = &daemon.slots[n];
@@ -773,14 +577,7 @@
 
 fn propose_snapshot(cell: &Cell, now: MonoMs) {
     let mut inner = cell.inner.lock();
-    let Role::Owning {
-        owner,
-        serving: true,
-    } = &mut inner.role
-    else {
-        return;
-    };
-    if owner.propose_snapshot().is_ok() {
+    if inner.replica.propose_snapshot().is_ok() {
         inner.snapshot_at = now;
         drop(inner);
         cell.proposed.notify(usize::MAX);
--- a/kingcupspan/src/daemon.rs
+++ b/kingcupspan/src/daemon.rs
@@ -114,7 +114,7 @@
             client: client.clone(),
             addr: platform.vms,
         };
-        let slots = (0..settings.slots).map(|n| slots::Cell::new(Slot(n)));
+        let slots = (0..settings.slots).map(|n| slots::Cell::new(Slot(n), &writer));
         Arc::new(Self {
             slots: slots.collect(),
             log_health: log_health::LogHealth::default(),
--- a/kingcupspan/src/edge/endpoint.rs
+++ b/kingcupspan/src/edge/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time::Duration};
 
-use kingcupspan_core::id::{ModelId, Offset, ProgramId};
+use kingcupspan_core::id::{Fence, ModelId, ProgramId};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -63,8 +63,8 @@
     /// The program, whose cache the engine keeps under this name.
     pub program: ProgramId,
 
-    /// Fencing number of the program's owner.
-    pub fence: Offset,
+    /// Fencing number of the call.
+    pub fence: Fence,
 }
 
 /// What the engine says a call took.
@@ -260,8 +260,8 @@
     /// The program.
     pub program: ProgramId,
 
-    /// Fencing number of the program's owner.
-    pub fence: Offset,
+    /// Fencing number of the call.
+    pub fence: Fence,
 }
 
 /// A service's answer.
@@ -321,7 +321,7 @@
     client: &Client,
     addr: net::SocketAddr,
     program: ProgramId,
-    fence: Offset,
+    fence: Fence,
 ) -> Result<(), RunError> {
     let body = json!({"order": "release", "program": program}).to_string();
     let out = Outgoing::post(addr, "/orders", body.into_bytes())
--- a/kingcupspan/src/edge/peer.rs
+++ b/kingcupspan/src/edge/peer.rs
@@ -186,16 +186,6 @@
     pub entries: Vec<record::Entry>,
 }
 
-/// Answer to a copy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Copied {
-    /// The records are kept.
-    Kept,
-
-    /// The sender has lost the slot.
-    Fenced,
-}
-
 /// Asks for the copies of a slot's records.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Copies {
--- a/kingcupspan/src/filter/account.rs
+++ b/kingcupspan/src/filter/account.rs
@@ -5,12 +5,13 @@
 use async_std::task;
 use kingcupspan_core::{
     id::{Offset, Seq},
-    record::{Batch, Entry, Finish, Outcome, Record, Repeat},
+    record::{Batch, Entry, Finish, Outcome, Record, RecordId, Repeat},
+    replica::Durability,
 };
 use serde_json::Value;
 
 use crate::{
-    controller::slots::{CommitError, Durability, Proposed},
+    controller::slots::CommitError,
     edge::{peer, problem::Problem},
     filter::{
         program,
@@ -29,33 +30,36 @@
 
 /// Writes the end of the call and answers the caller.
 pub async fn run(cx: &mut TurnCx, ended: Ended) {
+    let Some(start) = cx.started else {
+        return cx.answer(Err(program::not_durable())).await;
+    };
     let finish = Finish {
         program: cx.call.program,
         turn: cx.ask.turn,
+        start,
         used: ended.used,
         cost: cx.cost,
         outcome: ended.outcome.clone(),
     };
     let proposed = match cx.cell() {
-        Ok(cell) => cell.propose(Record::Finish(finish.clone())),
+        Ok(cell) => cell.propose_in(start.epoch, Record::Finish(finish.clone())),
         Err(problem) => return cx.answer(Err(problem)).await,
     };
-    let same_epoch = proposed.ok().filter(|p| p.epoch == cx.epoch);
-    let Some(proposed) = same_epoch else {
-        report_fate(cx, cx.epoch, finish);
+    let Ok(proposed) = proposed else {
+        report_fate(cx, start.epoch, finish);
         return lost(cx, ended).await;
     };
     match commit(cx, proposed).await {
         Ok(()) => durable(cx, ended).await,
         Err(CommitError::Lost) => {
-            report_fate(cx, cx.epoch, finish);
+            report_fate(cx, start.epoch, finish);
             lost(cx, ended).await;
         }
         Err(CommitError::TimedOut) => cx.answer(Err(program::not_durable())).await,
     }
 }
 
-async fn commit(cx: &TurnCx, proposed: Proposed) -> Result<(), CommitError> {
+async fn commit(cx: &TurnCx, proposed: RecordId) -> Result<(), CommitError> {
     let Ok(cell) = cx.cell() else {
         return Err(CommitError::Lost);
     };
--- a/kingcupspan/src/filter/budget.rs
+++ b/kingcupspan/src/filter/budget.rs
@@ -4,12 +4,13 @@
 
 use kingcupspan_core::{
     budget::Amount,
-    record::{Finish, Outcome, Record, Repeat, Start},
+    record::{Finish, Outcome, Record, RecordId, Repeat, Start},
+    replica::Durability,
     usage,
 };
 
 use crate::{
-    controller::slots::{CommitError, Durability, Proposed},
+    controller::slots::CommitError,
     edge::{
         peer::Target,
         problem::{Kind, Problem},
@@ -85,7 +86,6 @@
         .await
     {
         Ok(()) => {
-            cx.epoch = proposed.epoch;
             cx.started = Some(proposed);
             cx.started_at = cx.daemon.clock.mono();
             Ok(())
@@ -95,10 +95,11 @@
 }
 
 /// Gives the call up before anything was sent; nobody else may send it.
-fn withdraw(cx: &TurnCx, proposed: Proposed, e: CommitError) -> Problem {
+fn withdraw(cx: &TurnCx, proposed: RecordId, e: CommitError) -> Problem {
     let finish = Finish {
         program: cx.call.program,
         turn: cx.ask.turn,
+        start: proposed,
         used: Amount::default(),
         cost: usage::Cost::default(),
         outcome: Outcome::NotRun,
@@ -118,7 +119,7 @@
         CommitError::TimedOut => {
             if let Ok(cell) = cx.cell() {
                 // A refusal means that the slot is lost, which the fold settles.
-                let _ = cell.propose(Record::Finish(finish));
+                let _ = cell.propose_in(proposed.epoch, Record::Finish(finish));
             }
             let detail = "neither the log nor a peer took the record of the call in time";
             Problem::not_run(Kind::Unavailable, detail).retry_after(2)
--- a/kingcupspan/src/filter/order.rs
+++ b/kingcupspan/src/filter/order.rs
@@ -141,7 +141,11 @@
         Admission::Orphaned(Some(Outcome::NotRun)) => {
             Step::Settle(Record::Reopen { program, turn })
         }
-        Admission::Orphaned(Some(_)) => Step::Settle(Record::Settle { program, turn }),
+        Admission::Orphaned(Some(outcome)) => Step::Settle(Record::Settle {
+            program,
+            turn,
+            outcome,
+        }),
         Admission::Orphaned(None) => Step::Refuse(Problem::unknown(
             "a daemon that is gone may have sent this call; it is not sent again, \
              ask for the turn later",
--- a/kingcupspan/src/filter/program.rs
+++ b/kingcupspan/src/filter/program.rs
@@ -9,6 +9,7 @@
     id::{ProgramId, Turn, WallMs},
     program::Program,
     record::{Open, Record, Repeat},
+    replica::{Durability, ProposeError},
     slot::Refusal,
 };
 use serde::Serialize;
@@ -16,7 +17,7 @@
 use crate::{
     controller::{
         cache,
-        slots::{Cell, CommitError, Durability, ProposeError},
+        slots::{Cell, CommitError},
     },
     daemon::Daemon,
     edge::{
@@ -47,7 +48,7 @@
     let Some(cell) = daemon.slot(call.program.slot) else {
         return Err(no_program());
     };
-    if cell.with_owner(|_| ()).is_none() {
+    if !cell.is_serving() {
         return Err(moved());
     }
     match call.ask.clone() {
@@ -189,7 +190,7 @@
     task::spawn(cache::release_closed(
         Arc::clone(daemon),
         gone,
-        proposed.epoch,
+        proposed.fence(),
     ));
     Ok(Response::new(204))
 }
@@ -229,7 +230,7 @@
     for (program, gone) in expired.unwrap_or_default() {
         if let Ok(proposed) = cell.propose(Record::Close { program }) {
             log::info!(program = program.to_string().as_str(); "program closed, its time is over");
-            cache::release_closed(Arc::clone(daemon), gone, proposed.epoch).await;
+            cache::release_closed(Arc::clone(daemon), gone, proposed.fence()).await;
         }
     }
 }
--- a/kingcupspan/src/filter/route.rs
+++ b/kingcupspan/src/filter/route.rs
@@ -96,7 +96,7 @@
     let Some(cell) = daemon.slot(call.program.slot) else {
         return Owner::Here;
     };
-    if cell.with_owner(|_| ()).is_some() {
+    if cell.is_serving() {
         return Owner::Here;
     }
     let Some(claim) = cell.claim() else {
--- a/kingcupspan/src/filter/send.rs
+++ b/kingcupspan/src/filter/send.rs
@@ -202,7 +202,7 @@
         max_tokens: cx.max_tokens,
         request_id: request_id(),
         program: cx.call.program,
-        fence: cx.epoch,
+        fence: cx.started.map(|s| s.fence()).unwrap_or_default(),
     };
     cx.daemon
         .cache
@@ -442,7 +442,7 @@
         key: key.clone(),
         request_id: request_id(),
         program: cx.call.program,
-        fence: cx.epoch,
+        fence: cx.started.map(|s| s.fence()).unwrap_or_default(),
     };
     let addr = held.endpoint.addr;
     let answer = endpoint::call_service(&cx.daemon.client, addr, call, patience(cx)).await?;
--- a/kingcupspan/src/filter/turn.rs
+++ b/kingcupspan/src/filter/turn.rs
@@ -8,17 +8,14 @@
 use kingcupspan_core::{
     budget,
     digest::Digest,
-    id::{MonoMs, Offset},
-    record::{Answer, Outcome, Repeat},
+    id::MonoMs,
+    record::{Answer, Outcome, RecordId, Repeat},
     usage,
 };
 use serde_json::{Value, json};
 
 use crate::{
-    controller::{
-        grants,
-        slots::{Cell, Proposed},
-    },
+    controller::{grants, slots::Cell},
     daemon::Daemon,
     edge::{
         body,
@@ -72,9 +69,6 @@
     /// When it arrived.
     pub arrived: MonoMs,
 
-    /// Fencing number under which it was admitted.
-    pub epoch: Offset,
-
     /// What is reserved for it.
     pub reserve: budget::Amount,
 
@@ -88,7 +82,7 @@
     pub held: Option<grants::Held>,
 
     /// Its start on the log.
-    pub started: Option<Proposed>,
+    pub started: Option<RecordId>,
 
     /// When its start became durable.
     pub started_at: MonoMs,
@@ -217,7 +211,6 @@
         limits,
         repeat,
         serves,
-        epoch: Offset::default(),
         reserve: budget::Amount::default(),
         max_tokens: 0,
         history: History::default(),
--- a/kingcupspan_core/src/id.rs
+++ b/kingcupspan_core/src/id.rs
@@ -152,6 +152,38 @@
     u64
 );
 
+/// Bits of a fencing number that count records within an epoch.
+const FENCE_SEQ_BITS: u32 = 28;
+
+/// Fencing number of a call: a later start of a program has a higher one,
+/// whoever owns the program.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+pub struct Fence(u64);
+
+impl Fence {
+    /// The number of the record `seq` of the claim at `epoch`.
+    ///
+    /// An epoch with more records than fit gives them all the highest number,
+    /// which keeps former owners out but no longer tells its own calls apart.
+    pub fn new(epoch: Offset, seq: Seq) -> Self {
+        let most = (1 << FENCE_SEQ_BITS) - 1;
+        Self(epoch.0 << FENCE_SEQ_BITS | seq.0.min(most))
+    }
+}
+
 /// One incarnation of a daemon: a restarted daemon is another writer.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
 #[display("{vm}/{incarnation:016x}")]
--- a/kingcupspan_core/src/lib.rs
+++ b/kingcupspan_core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quarantine;
 pub mod record;
 pub mod rendezvous;
+pub mod replica;
 pub mod retry;
 pub mod slot;
 pub mod usage;
--- a/kingcupspan_core/src/membership.rs
+++ b/kingcupspan_core/src/membership.rs
@@ -153,8 +153,15 @@
         takers.into_iter().find(|vm| vm.as_str() == first)
     }
 
-    /// What this daemon should do about a slot with this claim.
-    pub fn decide(&self, slot: Slot, claim: Option<&slot::Claim>, now: MonoMs) -> Decision {
+    /// What this daemon should do about a slot with this claim, of which it
+    /// is the owner if `owning`.
+    pub fn decide(
+        &self,
+        slot: Slot,
+        claim: Option<&slot::Claim>,
+        owning: bool,
+        now: MonoMs,
+    ) -> Decision {
         if now < self.blind_until {
             return Decision::Keep;
         }
@@ -169,7 +176,9 @@
             let target_lives = self.takers(now).contains(&to);
             return claim_if(*to == self.me.vm || (mine && !target_lives));
         }
-        if !self.is_alive(&claim.writer, now) {
+        // A claim of its own that this daemon has lost track of is dead, too.
+        let lost_track = claim.writer == self.me && !owning;
+        if lost_track || !self.is_alive(&claim.writer, now) {
             return claim_if(mine);
         }
         if claim.writer == self.me && !mine && self.is_steady(candidate, now) {
--- a/kingcupspan_core/src/owner.rs
+++ b/kingcupspan_core/src/owner.rs
@@ -1,10 +1,10 @@
 //! An owner's side of a slot: propose records, number them, see them committed.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     id::{Offset, Seq, Writer},
-    record::{Batch, Entry, Finish, Outcome, Record, Repeat},
+    record::{Batch, Entry, Finish, Outcome, Record, RecordId, Repeat},
     slot, usage,
 };
 
@@ -76,23 +76,27 @@
     }
 
     /// Folds a record into the state and queues it; the call waits for its number.
-    pub fn propose(&mut self, record: Record) -> Result<Seq, slot::Refusal> {
-        self.state.apply_record(&record)?;
-        self.last = self.last.next();
-        if let Some(claim) = &mut self.state.claim {
-            claim.last_seq = self.last;
+    pub fn propose(&mut self, record: Record) -> Result<RecordId, slot::Refusal> {
+        let seq = self.last.next();
+        self.set_last_seq(seq);
+        let checked = self.state.bears_out(&record);
+        let applied = checked.and_then(|()| self.state.apply_record(&record));
+        if let Err(refused) = applied {
+            self.set_last_seq(self.last);
+            return Err(refused);
         }
-        self.pending.push_back(Entry {
-            seq: self.last,
-            record,
-        });
-        Ok(self.last)
+        self.last = seq;
+        self.pending.push_back(Entry { seq, record });
+        Ok(RecordId {
+            epoch: self.epoch,
+            seq,
+        })
     }
 
-    /// Queues a snapshot of the state as it is now.
-    pub fn propose_snapshot(&mut self) -> Result<Seq, slot::Refusal> {
-        let state = Box::new(self.state.clone());
-        self.propose(Record::Snapshot(state))
+    fn set_last_seq(&mut self, seq: Seq) {
+        if let Some(claim) = &mut self.state.claim {
+            claim.last_seq = seq;
+        }
     }
 
     /// The records to append next: the same ones again until they are committed.
@@ -143,15 +147,25 @@
         }
     }
 
-    /// Adopts records that a former owner could not bring to the log, as far
-    /// as they extend this state; returns how many did.
+    /// Adopts records that the owner with the claim at `former` could not bring
+    /// to the log, as far as they extend this state; returns how many did.
     ///
     /// A call whose end is not among them is adopted as failed, so that what
     /// it may have used stays charged.
-    pub fn adopt(&mut self, entries: &[Entry]) -> usize {
+    pub fn adopt(&mut self, former: Offset, entries: &[Entry]) -> usize {
         let mut adopted = 0;
+        let mut starts = BTreeMap::new();
         for entry in entries.iter().filter(|e| adoptable(&e.record)) {
-            adopted += usize::from(self.propose(entry.record.clone()).is_ok());
+            let record = renamed(&entry.record, &starts);
+            let Ok(id) = self.propose(record) else {
+                continue;
+            };
+            adopted += 1;
+            let before = RecordId {
+                epoch: former,
+                seq: entry.seq,
+            };
+            starts.insert(before, id);
         }
         self.fail_open_calls();
         adopted
@@ -163,10 +177,11 @@
         let open: Vec<Record> = programs
             .filter_map(|(id, p)| {
                 let current = p.current.as_ref()?;
-                (current.starter.epoch == epoch).then(|| {
+                (current.starter.start.epoch == epoch).then(|| {
                     Record::Finish(Finish {
                         program: *id,
                         turn: p.next_turn(),
+                        start: current.starter.start,
                         used: current.reserve,
                         cost: usage::Cost::default(),
                         outcome: Outcome::Failed,
@@ -181,6 +196,17 @@
     }
 }
 
+/// The record with the start that it ends under its new name.
+fn renamed(record: &Record, starts: &BTreeMap<RecordId, RecordId>) -> Record {
+    let mut record = record.clone();
+    if let Record::Finish(finish) = &mut record
+        && let Some(id) = starts.get(&finish.start)
+    {
+        finish.start = *id;
+    }
+    record
+}
+
 /// Only what cannot take effect twice is adopted: never the intent of a
 /// non-idempotent call.
 fn adoptable(record: &Record) -> bool {
--- a/kingcupspan_core/src/program.rs
+++ b/kingcupspan_core/src/program.rs
@@ -10,14 +10,14 @@
     record, usage,
 };
 
-/// Who started a call, and under which fencing number.
+/// Who started a call, and by which record.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Starter {
     /// The incarnation that may send the call.
     pub writer: Writer,
 
-    /// Offset of its claim.
-    pub epoch: Offset,
+    /// Its record of the start.
+    pub start: record::RecordId,
 }
 
 /// A call that was started and has not ended on the log.
@@ -160,7 +160,7 @@
         if current.digest != digest {
             return Admission::Conflict;
         }
-        if current.starter.epoch == epoch {
+        if current.starter.start.epoch == epoch {
             return Admission::Busy;
         }
         match current.repeat {
@@ -174,6 +174,10 @@
         let Some(current) = self.current.take() else {
             return;
         };
+        let outcome = match current.repeat {
+            record::Repeat::Idempotent => outcome,
+            record::Repeat::NonIdempotent => without_messages(outcome),
+        };
         if let record::Outcome::Answered(answer) = &outcome
             && !answer.messages.is_empty()
         {
@@ -200,7 +204,7 @@
             if settled.starter != *starter || !open || !known {
                 return false;
             }
-            settled.outcome = outcome.clone();
+            settled.outcome = without_messages(outcome.clone());
             return true;
         }
         if turn != self.next_turn() {
@@ -231,6 +235,15 @@
     }
 }
 
+/// A call whose outcome may become known late never extends the history, so
+/// that it does not matter when it does.
+fn without_messages(mut outcome: record::Outcome) -> record::Outcome {
+    if let record::Outcome::Answered(answer) = &mut outcome {
+        answer.messages.clear();
+    }
+    outcome
+}
+
 /// Whether a report settles what became of a non-idempotent call.
 fn is_final(outcome: &record::Outcome) -> bool {
     match outcome {
--- a/kingcupspan_core/src/record.rs
+++ b/kingcupspan_core/src/record.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     budget, digest,
-    id::{CallerId, Offset, ProgramId, Seq, Turn, VmId, WallMs, WorkspaceId, Writer},
+    id::{CallerId, Fence, Offset, ProgramId, Seq, Turn, VmId, WallMs, WorkspaceId, Writer},
     slot, usage,
 };
 
@@ -43,6 +43,25 @@
     pub record: Record,
 }
 
+/// Identifies a record of an owner: no other record of the slot has the same.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RecordId {
+    /// Fencing number of the owner.
+    pub epoch: Offset,
+
+    /// The owner's number.
+    pub seq: Seq,
+}
+
+impl RecordId {
+    /// Fencing number of the call that the record starts.
+    pub fn fence(&self) -> Fence {
+        Fence::new(self.epoch, self.seq)
+    }
+}
+
 /// What an owner decides about its programs.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
@@ -55,13 +74,16 @@
     /// The call that this writer started has ended.
     Finish(Finish),
 
-    /// A call whose writer is gone is closed with an unknown outcome.
+    /// A call whose writer is gone is closed.
     Settle {
         /// The program.
         program: ProgramId,
 
         /// The turn that is closed.
         turn: Turn,
+
+        /// What its writer has reported, or unknown.
+        outcome: Outcome,
     },
 
     /// A call whose writer reported that it did not run may be started again.
@@ -155,6 +177,9 @@
     /// The turn.
     pub turn: Turn,
 
+    /// The record that started it.
+    pub start: RecordId,
+
     /// What it drew from the budget.
     pub used: budget::Amount,
 
--- /dev/null
+++ b/kingcupspan_core/src/replica.rs
@@ -0,0 +1,370 @@
+//! One daemon's part in one slot: it follows the stream, and owns the slot
+//! while its own claim is the one in force.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{Offset, Seq, Writer},
+    owner::{self, Owner},
+    record::{Batch, Entry, Record, RecordId},
+    slot::{self, Claim, Reader, Refusal, SlotState},
+};
+
+/// What a daemon is to a slot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Role {
+    /// It folds the stream.
+    Following(Reader),
+
+    /// It owns the slot; until `serving` it still gathers copies from peers.
+    Owning { owner: Owner, serving: bool },
+}
+
+/// How durable a record has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Durability {
+    /// On the log, or kept by peers while the log is away.
+    LogOrCopies,
+
+    /// On the log.
+    Log,
+}
+
+/// Why a record was not proposed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum ProposeError {
+    /// This daemon does not serve the slot.
+    #[error("the slot is owned by another daemon")]
+    NotServing,
+
+    /// The state does not allow it.
+    #[error(transparent)]
+    Refused(#[from] Refusal),
+}
+
+/// What became of a proposed record so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// It is as durable as asked.
+    Durable,
+
+    /// It may still become so.
+    Pending,
+
+    /// Another daemon owns the slot.
+    Lost,
+}
+
+/// Answer to an owner that asks for copies of its records to be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Copied {
+    /// The records are kept.
+    Kept,
+
+    /// The sender has lost the slot.
+    Fenced,
+}
+
+/// A claim that awaits the copies of its predecessor's records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Gathering {
+    /// The new owner's fencing number.
+    pub epoch: Offset,
+
+    /// The claim that it replaced.
+    pub replaced: Option<Claim>,
+}
+
+/// One daemon's part in one slot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Replica {
+    me: Writer,
+    role: Role,
+    next: Offset,
+    lost: Option<Offset>,
+    replaced: Option<Claim>,
+    copied: Seq,
+    copies: BTreeMap<(Offset, Seq), Entry>,
+    sealed: Option<Offset>,
+}
+
+impl Replica {
+    /// A daemon that has read nothing of the slot's stream.
+    pub fn new(me: Writer) -> Self {
+        Self {
+            me,
+            role: Role::Following(Reader::new(Offset(0))),
+            next: Offset(0),
+            lost: None,
+            replaced: None,
+            copied: Seq(0),
+            copies: BTreeMap::new(),
+            sealed: None,
+        }
+    }
+
+    /// The offset to read next.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// The folded state, once it is whole.
+    pub fn state(&self) -> Option<&SlotState> {
+        match &self.role {
+            Role::Following(reader) => reader.state(),
+            Role::Owning { owner, .. } => Some(owner.state()),
+        }
+    }
+
+    /// The claim in force.
+    pub fn claim(&self) -> Option<&Claim> {
+        self.state()?.claim.as_ref()
+    }
+
+    /// The owner's side, whether it serves or not.
+    pub fn owner(&self) -> Option<&Owner> {
+        match &self.role {
+            Role::Owning { owner, .. } => Some(owner),
+            Role::Following(_) => None,
+        }
+    }
+
+    /// The owner's side, if it serves.
+    pub fn serving(&self) -> Option<&Owner> {
+        match &self.role {
+            Role::Owning {
+                owner,
+                serving: true,
+            } => Some(owner),
+            _ => None,
+        }
+    }
+
+    /// Folds the batch at `offset`; false if another offset is the next.
+    pub fn fold(&mut self, offset: Offset, batch: &Batch) -> bool {
+        if offset != self.next {
+            return false;
+        }
+        self.next = offset.next();
+        match &mut self.role {
+            Role::Following(reader) => {
+                let before = reader.state().and_then(|s| s.claim.clone());
+                match reader.apply(offset, batch) {
+                    slot::Applied::Claimed => {
+                        self.replaced = before;
+                        self.take_over();
+                    }
+                    slot::Applied::Folded(seq) => self.drop_copies(seq),
+                    slot::Applied::Fate | slot::Applied::Ignored | slot::Applied::Stale => {}
+                }
+            }
+            Role::Owning { owner, .. } => match owner.read_back(offset, batch) {
+                owner::Event::Lost => self.lose(),
+                owner::Event::Committed(seq) => self.drop_copies(seq),
+                owner::Event::Fate | owner::Event::Nothing => {}
+            },
+        }
+        true
+    }
+
+    /// Passes over a record that cannot be read.
+    pub fn skip(&mut self, offset: Offset) {
+        if self.next == offset {
+            self.next = offset.next();
+        }
+    }
+
+    /// Begins anew at the oldest record that the log keeps.
+    ///
+    /// An owner cannot know whether a claim was among what has expired, so it
+    /// is one no longer.
+    pub fn restart(&mut self, oldest: Offset) {
+        if self.next >= oldest {
+            return;
+        }
+        if self.owner().is_some() {
+            self.lose();
+        }
+        self.next = oldest;
+        self.role = Role::Following(Reader::new(oldest));
+    }
+
+    /// Notes that the stream has been read to its end.
+    pub fn end_reached(&mut self) {
+        if let Role::Following(reader) = &mut self.role {
+            reader.give_up_waiting();
+        }
+    }
+
+    /// Becomes the owner if the claim just folded is this daemon's.
+    fn take_over(&mut self) {
+        let Role::Following(reader) = &self.role else {
+            return;
+        };
+        let state = reader.state().cloned();
+        let Some(owner) = state.and_then(|s| Owner::new(s, &self.me)) else {
+            return;
+        };
+        // An epoch that was lost is read again from the log as any other's.
+        if self.lost.is_some_and(|lost| owner.epoch() <= lost) {
+            return;
+        }
+        self.copied = Seq(0);
+        self.role = Role::Owning {
+            owner,
+            serving: false,
+        };
+    }
+
+    /// Follows again from the beginning: the state ran ahead of the log.
+    /// What is not on the log is kept for the next owner.
+    fn lose(&mut self) {
+        if let Role::Owning { owner, .. } = &self.role {
+            let epoch = owner.epoch();
+            let pending = owner.pending().map(|e| ((epoch, e.seq), e.clone()));
+            self.copies.extend(pending);
+            self.lost = Some(epoch);
+        }
+        self.role = Role::Following(Reader::new(Offset(0)));
+        self.next = Offset(0);
+        self.copied = Seq(0);
+    }
+
+    /// Drops what has counted on the log, and what former owners left.
+    fn drop_copies(&mut self, seq: Seq) {
+        let Some(epoch) = self.claim().map(|c| c.epoch) else {
+            return;
+        };
+        self.copies.retain(|kept, _| *kept > (epoch, seq));
+    }
+
+    /// Proposes a record.
+    pub fn propose(&mut self, record: Record) -> Result<RecordId, ProposeError> {
+        let Role::Owning {
+            owner,
+            serving: true,
+        } = &mut self.role
+        else {
+            return Err(ProposeError::NotServing);
+        };
+        Ok(owner.propose(record)?)
+    }
+
+    /// Proposes a record that belongs to one epoch and to no later one.
+    pub fn propose_in(&mut self, epoch: Offset, record: Record) -> Result<RecordId, ProposeError> {
+        match self.serving() {
+            Some(owner) if owner.epoch() == epoch => self.propose(record),
+            _ => Err(ProposeError::NotServing),
+        }
+    }
+
+    /// Proposes a snapshot of the state as it is.
+    pub fn propose_snapshot(&mut self) -> Result<RecordId, ProposeError> {
+        let owner = self.serving().ok_or(ProposeError::NotServing)?;
+        let state = Box::new(owner.state().clone());
+        self.propose(Record::Snapshot(state))
+    }
+
+    /// What became of a proposed record.
+    pub fn progress(&self, proposed: RecordId, durability: Durability) -> Progress {
+        let Some(owner) = self.owner().filter(|o| o.epoch() == proposed.epoch) else {
+            return Progress::Lost;
+        };
+        let durable = match durability {
+            Durability::Log => owner.committed(),
+            Durability::LogOrCopies => owner.committed().max(self.copied),
+        };
+        match durable >= proposed.seq {
+            true => Progress::Durable,
+            false => Progress::Pending,
+        }
+    }
+
+    /// The records to append next.
+    pub fn batch(&self, most: usize) -> Option<Batch> {
+        self.owner().and_then(|o| o.batch(most))
+    }
+
+    /// Whether a batch of this owner is on the log, or has become void.
+    pub fn is_past(&self, epoch: Offset, seq: Seq) -> bool {
+        match self.owner() {
+            Some(owner) if owner.epoch() == epoch => owner.committed() >= seq,
+            _ => true,
+        }
+    }
+
+    /// Whether a batch has records that no peer keeps.
+    pub fn lacks_copies(&self, batch: &Batch) -> bool {
+        match batch {
+            Batch::Owned { entries, .. } => entries.iter().any(|e| e.seq > self.copied),
+            Batch::Claim { .. } => false,
+        }
+    }
+
+    /// Notes that peers keep the records of `epoch` up to `seq`.
+    pub fn copies_kept(&mut self, epoch: Offset, seq: Seq) {
+        if self.owner().is_some_and(|o| o.epoch() == epoch) {
+            self.copied = self.copied.max(seq);
+        }
+    }
+
+    /// Keeps records for an owner that cannot reach the log.
+    pub fn keep_copies(&mut self, epoch: Offset, entries: Vec<Entry>) -> Copied {
+        let known = self.claim().map(|c| c.epoch);
+        let sealed = self.sealed.is_some_and(|sealed| sealed >= epoch);
+        if sealed || known.is_some_and(|known| known > epoch) {
+            return Copied::Fenced;
+        }
+        for entry in entries {
+            self.copies.insert((epoch, entry.seq), entry);
+        }
+        Copied::Kept
+    }
+
+    /// Hands out the kept records of an epoch, in order, and keeps no more of
+    /// it: what an owner is told to be kept is with its successor.
+    pub fn seal_copies(&mut self, epoch: Offset) -> Vec<Entry> {
+        self.sealed = self.sealed.max(Some(epoch));
+        let range = (epoch, Seq(0))..=(epoch, Seq(u64::MAX));
+        self.copies.range(range).map(|(_, e)| e.clone()).collect()
+    }
+
+    /// Records that are kept for owners.
+    pub fn copies_len(&self) -> usize {
+        self.copies.len()
+    }
+
+    /// The claim that still gathers copies, if it is so.
+    pub fn gathering(&self) -> Option<Gathering> {
+        match &self.role {
+            Role::Owning {
+                owner,
+                serving: false,
+            } => Some(Gathering {
+                epoch: owner.epoch(),
+                replaced: self.replaced.clone(),
+            }),
+            _ => None,
+        }
+    }
+
+    /// Begins to serve with the records that were kept of the former owner;
+    /// returns how many were adopted.
+    pub fn serve(&mut self, gathering: &Gathering, mut copies: Vec<Entry>) -> usize {
+        let Role::Owning { owner, serving } = &mut self.role else {
+            return 0;
+        };
+        if owner.epoch() != gathering.epoch {
+            return 0;
+        }
+        let after = gathering.replaced.as_ref().map_or(Seq(0), |c| c.last_seq);
+        copies.sort_by_key(|e| e.seq);
+        copies.dedup_by_key(|e| e.seq);
+        copies.retain(|e| e.seq > after);
+        *serving = true;
+        let former = gathering.replaced.as_ref().map(|c| c.epoch);
+        former.map_or(0, |former| owner.adopt(former, &copies))
+    }
+}
--- a/kingcupspan_core/src/slot.rs
+++ b/kingcupspan_core/src/slot.rs
@@ -9,7 +9,7 @@
     budget,
     id::{Offset, ProgramId, Seq, Turn, VmId, Writer},
     program,
-    record::{self, Batch, Entry, Outcome, Record, Repeat},
+    record::{self, Batch, Entry, Outcome, Record, RecordId, Repeat},
     usage,
 };
 
@@ -154,15 +154,19 @@
     }
 
     fn apply_former(&mut self, writer: &Writer, epoch: Offset, entries: &[Entry]) -> Applied {
-        let starter = program::Starter {
-            writer: writer.clone(),
-            epoch,
-        };
         let mut noted = false;
         for entry in entries {
             let Record::Finish(f) = &entry.record else {
                 continue;
             };
+            // Only the starter itself can tell, and only of its own start.
+            if f.start.epoch != epoch {
+                continue;
+            }
+            let starter = program::Starter {
+                writer: writer.clone(),
+                start: f.start,
+            };
             if let Some(program) = self.programs.get_mut(&f.program) {
                 noted |= program.note_fate(f.turn, &starter, &f.outcome);
             }
@@ -184,7 +188,11 @@
             Record::Open(open) => self.open(open),
             Record::Start(start) => self.start(start),
             Record::Finish(finish) => self.finish(finish),
-            Record::Settle { program, turn } => self.settle_orphan(*program, *turn),
+            Record::Settle {
+                program,
+                turn,
+                outcome,
+            } => self.settle_orphan(*program, *turn, outcome),
             Record::Reopen { program, turn } => self.reopen(*program, *turn),
             Record::Close { program } => self.close(*program),
             Record::Snapshot(_) => Ok(()),
@@ -210,7 +218,10 @@
         let claim = self.claim.as_ref().ok_or(Refusal::NotOwner)?;
         let starter = program::Starter {
             writer: claim.writer.clone(),
-            epoch: claim.epoch,
+            start: RecordId {
+                epoch: claim.epoch,
+                seq: claim.last_seq,
+            },
         };
         let program = self.program_mut(start.program)?;
         if start.turn != program.next_turn() {
@@ -225,7 +236,7 @@
             return Err(Refusal::KeyReused);
         }
         if let Some(current) = &program.current {
-            let same_epoch = current.starter.epoch == starter.epoch;
+            let same_epoch = current.starter.start.epoch == starter.start.epoch;
             if same_epoch || current.repeat == Repeat::NonIdempotent {
                 return Err(Refusal::Busy);
             }
@@ -279,7 +290,7 @@
             return Err(Refusal::Order);
         }
         let reserve = match &program.current {
-            Some(c) if c.starter.epoch == epoch => c.reserve,
+            Some(c) if c.starter.start == finish.start && may_finish(c, finish, epoch) => c.reserve,
             _ => return Err(Refusal::NotStarted),
         };
         let key = program.account_key();
@@ -309,10 +320,20 @@
         Ok(())
     }
 
-    fn settle_orphan(&mut self, id: ProgramId, turn: Turn) -> Result<(), Refusal> {
-        let (reserve, fate) = self.orphan(id, turn)?;
+    fn settle_orphan(
+        &mut self,
+        id: ProgramId,
+        turn: Turn,
+        outcome: &Outcome,
+    ) -> Result<(), Refusal> {
+        let orphan = self.orphan(id, turn)?;
+        let reserve = orphan.reserve;
+        // A report that the owner had not read yet counts as if it came later.
+        let outcome = match (outcome, &orphan.fate) {
+            (Outcome::Unknown, Some(fate)) => fate.clone(),
+            (outcome, _) => outcome.clone(),
+        };
         self.settle_ledgers(id, reserve, reserve);
-        let outcome = fate.unwrap_or(Outcome::Unknown);
         let program = self.program_mut(id)?;
         program.settle(outcome, reserve);
         let key = program.account_key();
@@ -325,28 +346,42 @@
     }
 
     fn reopen(&mut self, id: ProgramId, turn: Turn) -> Result<(), Refusal> {
-        let (reserve, fate) = self.orphan(id, turn)?;
-        if fate != Some(Outcome::NotRun) {
-            return Err(Refusal::Busy);
-        }
+        let reserve = self.orphan(id, turn)?.reserve;
         self.settle_ledgers(id, reserve, budget::Amount::default());
         self.program_mut(id)?.current = None;
         Ok(())
     }
 
+    /// Whether the state bears out what the record of an owner claims to know.
+    ///
+    /// Only the owner asks this: the fold takes its word, since a reader that
+    /// began at a snapshot may not have seen the report.
+    pub(crate) fn bears_out(&mut self, record: &Record) -> Result<(), Refusal> {
+        let (id, turn, told) = match record {
+            Record::Reopen { program, turn } => (*program, *turn, &Outcome::NotRun),
+            Record::Settle {
+                program,
+                turn,
+                outcome,
+            } => (*program, *turn, outcome),
+            _ => return Ok(()),
+        };
+        let fate = self.orphan(id, turn)?.fate.clone();
+        match fate.unwrap_or(Outcome::Unknown) == *told {
+            true => Ok(()),
+            false => Err(Refusal::Busy),
+        }
+    }
+
     /// A non-idempotent call under way that a former owner started.
-    fn orphan(
-        &mut self,
-        id: ProgramId,
-        turn: Turn,
-    ) -> Result<(budget::Amount, Option<Outcome>), Refusal> {
+    fn orphan(&mut self, id: ProgramId, turn: Turn) -> Result<&program::Started, Refusal> {
         let epoch = self.epoch().ok_or(Refusal::NotOwner)?;
         let program = self.program_mut(id)?;
         if turn != program.next_turn() {
             return Err(Refusal::Order);
         }
         match &program.current {
-            Some(c) if c.starter.epoch != epoch => Ok((c.reserve, c.fate.clone())),
+            Some(c) if c.starter.start.epoch != epoch => Ok(c),
             _ => Err(Refusal::NotStarted),
         }
     }
@@ -423,6 +458,14 @@
     }
 }
 
+/// An owner ends its own calls, and adopts answers to a former owner's
+/// idempotent ones.
+fn may_finish(current: &program::Started, finish: &record::Finish, epoch: Offset) -> bool {
+    let own = current.starter.start.epoch == epoch;
+    let answered = matches!(finish.outcome, Outcome::Answered(_));
+    own || (answered && current.repeat == Repeat::Idempotent)
+}
+
 /// A reader of a slot's stream, possibly from the middle.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Reader {
--- /dev/null
+++ b/kingcupspan_core/tests/spec/main.rs
@@ -0,0 +1,145 @@
+//! Model checking of the core protocol: the specification of docs/SPEC.md,
+//! explored exhaustively by breadth-first search over the real core.
+
+mod bounds;
+mod invariants;
+mod search;
+mod step;
+mod world;
+
+use bounds::{Bounds, Flaw};
+
+/// Environment variable that asks for the larger bounds.
+const LARGE: &str = "KINGCUPSPAN_SPEC_LARGE";
+
+fn assert_holds(name: &str, bounds: &Bounds) {
+    let found = search::explore(bounds);
+    println!("{name}: {} states, depth {}", found.states, found.depth);
+    if let Some(trace) = found.counterexample {
+        panic!("{name}: {trace}");
+    }
+}
+
+fn assert_found(name: &str, flaw: Flaw, bounds: Bounds, invariant: &str) {
+    let bounds = Bounds {
+        flaw: Some(flaw),
+        ..bounds
+    };
+    let found = search::explore(&bounds);
+    println!("{name}: {} states, depth {}", found.states, found.depth);
+    let trace = found.counterexample.expect("the flaw must be found");
+    println!("{trace}");
+    assert!(
+        trace.contains(invariant),
+        "{name}: another invariant broke: {trace}"
+    );
+}
+
+#[test]
+fn at_most_once_with_lost_appends_and_takeover() {
+    assert_holds("takeover", &Bounds::takeover());
+}
+
+#[test]
+fn at_most_once_with_crash() {
+    assert_holds("crash", &Bounds::crash());
+}
+
+#[test]
+fn order_at_an_endpoint_that_checks_fencing_numbers() {
+    assert_holds("fenced endpoint", &Bounds::fenced_endpoint());
+}
+
+#[test]
+fn budget_of_a_parent_covers_its_children() {
+    assert_holds("budget", &Bounds::budget());
+}
+
+#[test]
+fn snapshots_ahead_of_expiry() {
+    assert_holds("expiry", &Bounds::expiry());
+}
+
+#[test]
+fn copies_while_the_log_is_away() {
+    assert_holds("outage", &Bounds::outage());
+}
+
+#[test]
+fn larger_bounds() {
+    if std::env::var_os(LARGE).is_none() {
+        println!("not run: set {LARGE}=1");
+        return;
+    }
+    assert_holds("takeover, large", &Bounds::takeover().larger());
+    assert_holds("crash, large", &Bounds::crash().larger());
+    assert_holds("outage, large", &Bounds::outage().larger());
+}
+
+#[test]
+fn finds_sending_before_the_start_is_on_the_log() {
+    let flaw = Flaw::SendBeforeCommit;
+    assert_found(
+        "send before commit",
+        flaw,
+        Bounds::takeover(),
+        "at most once",
+    );
+}
+
+#[test]
+fn finds_a_reassigned_intent() {
+    let flaw = Flaw::ReassignIntent;
+    assert_found(
+        "reassigned intent",
+        flaw,
+        Bounds::takeover(),
+        "at most once",
+    );
+}
+
+#[test]
+fn finds_not_run_told_on_timeout() {
+    let flaw = Flaw::NotRunOnTimeout;
+    assert_found(
+        "not run on timeout",
+        flaw,
+        Bounds::takeover(),
+        "not run is true",
+    );
+}
+
+#[test]
+fn finds_a_withdrawn_call_that_is_sent_after_all() {
+    let flaw = Flaw::SendAfterWithdrawal;
+    assert_found(
+        "send after withdrawal",
+        flaw,
+        Bounds::takeover(),
+        "not run is true",
+    );
+}
+
+#[test]
+fn finds_records_without_fencing() {
+    let flaw = Flaw::StaleRecordsCount;
+    assert_found("stale records count", flaw, Bounds::takeover(), "");
+}
+
+#[test]
+fn finds_settlement_without_reservation() {
+    let flaw = Flaw::NoReservation;
+    assert_found("no reservation", flaw, Bounds::budget(), "budget");
+}
+
+#[test]
+fn finds_calls_sent_late_past_an_endpoint_that_ignores_fencing_numbers() {
+    let flaw = Flaw::EndpointIgnoresFence;
+    assert_found("ignored fence", flaw, Bounds::fenced_endpoint(), "order");
+}
+
+#[test]
+fn finds_copies_kept_for_an_owner_that_was_succeeded() {
+    let flaw = Flaw::UnsealedCopies;
+    assert_found("unsealed copies", flaw, Bounds::outage(), "history is kept");
+}
--- a/kingcupspan_standin/src/embedded.rs
+++ b/kingcupspan_standin/src/embedded.rs
@@ -261,10 +261,7 @@
         let slots = self.settings.first().map_or(0, |s| usize::from(s.slots));
         let owned = |n: usize| {
             let owners = self.daemons.iter();
-            owners
-                .filter(|d| d.slots[n].with_owner(|_| ()).is_some())
-                .count()
-                == 1
+            owners.filter(|d| d.slots[n].is_serving()).count() == 1
         };
         let known = |n: usize| self.daemons.iter().all(|d| d.slots[n].claim().is_some());
         let configured = |d: &Arc<Daemon>| d.configuration.get().in_force.version > Version(0);
