Wait for a change instead of looking without end

Cause: a turn ahead of its order looked at the state again at once, forever; a few of them took all threads of the daemon, which then answered no heartbeat and lost its slots (seen by the raced-turns test as claims of the same slot every two seconds, and outcomes that stayed unknown).

Ruled out: late heartbeats for want of processor time (the owner stopped answering at the very moment the requests came, with idle cores); a lock order (no two locks are held together there).

Change: the waiter takes its listener before it looks. A reader whose slot is lost no longer finishes its long read before it starts again.

--- a/kingcupspan/src/controller/slots.rs
+++ b/kingcupspan/src/controller/slots.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use async_std::{future, task};
-use event_listener::Event;
+use event_listener::{Event, EventListener};
 use futures_lite::FutureExt;
 use kingcupspan_core::{
     id::{MonoMs, Offset, ProgramId, Slot, Writer},
@@ -199,6 +199,11 @@
         future::timeout(patience, waiting).await.ok()
     }
 
+    /// A listener for the next change; take it before looking at the state.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
     /// Wakes all who wait for a change.
     pub fn notify(&self) {
         self.changed.notify(usize::MAX);
@@ -352,7 +357,17 @@
     let stream = cell.stream();
     loop {
         let asked = daemon.clock.mono();
-        let read = daemon.log.read(&stream, cell.next(), READ_WAIT).await;
+        let from = cell.next();
+        let read = daemon.log.read(&stream, from, READ_WAIT);
+        // A slot that is lost meanwhile is read again from the beginning.
+        let lost = async {
+            cell.wait(Duration::MAX, || (cell.next() < from).then_some(()))
+                .await;
+            None
+        };
+        let Some(read) = async { Some(read.await) }.or(lost).await else {
+            continue;
+        };
         let now = daemon.clock.mono();
         match read {
             Ok(records) if records.is_empty() => {
--- a/kingcupspan/src/filter/order.rs
+++ b/kingcupspan/src/filter/order.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_std::future;
+use event_listener::EventListener;
 use kingcupspan_core::{
     id::ProgramId,
     program::Admission,
@@ -60,8 +62,8 @@
     let order_wait = Duration::from_millis(cx.limits.order_wait_ms);
     let mut ahead_since = None;
     loop {
-        let step = step(cx)?;
-        match step {
+        let changed = cx.cell()?.listen();
+        match step(cx)? {
             Step::Go(history) => {
                 cx.history = history;
                 let running = Running {
@@ -83,9 +85,9 @@
                 let Some(left) = order_wait.checked_sub(waited).filter(|d| !d.is_zero()) else {
                     return Err(Problem::not_run(Kind::OutOfOrder, detail));
                 };
-                changed(cx, left.min(cx.left())).await?;
+                wait(changed, left.min(cx.left())).await;
             }
-            Step::Wait => changed(cx, cx.left()).await?,
+            Step::Wait => wait(changed, cx.left()).await,
         }
         if cx.left().is_zero() {
             let detail = "the same request is still under way; send it again for its answer";
@@ -102,16 +104,9 @@
     Ok(())
 }
 
-async fn changed(cx: &TurnCx, patience: Duration) -> Result<(), Problem> {
-    let cell = cx.cell()?;
-    let mut first = true;
-    cell.wait(patience, || {
-        let ready = !first;
-        first = false;
-        ready.then_some(())
-    })
-    .await;
-    Ok(())
+async fn wait(changed: EventListener, patience: Duration) {
+    // Whether the state has changed or time is over, the caller looks again.
+    let _ = future::timeout(patience, changed).await;
 }
 
 fn step(cx: &TurnCx) -> Result<Step, Problem> {
