Claim as soon as the stream is known; measure; split the slots

Cause: a killed owner's programs waited 2.09 s at a lease of 0.9 s. A follower counted as up to date only after an empty read of the log, which takes up to 2 s, so that one that had just read a record did not dare to claim (found by the recovery measurement: a constant 2.09 s).

Ruled out: the long read not being woken (a change of the configuration is in force after 11 ms over the same log); late heartbeats (constant, idle cores).

Change: whoever has been at the end and reads on is up to date; the first reads do not wait. Orphaned calls are looked for once a lease, not every 50 ms.

--- a/kingcupspan/src/controller/configuration.rs
+++ b/kingcupspan/src/controller/configuration.rs
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Checked {
     /// The version and its document.
-    pub in_force: InForce,
+    pub in_force: Arc<InForce>,
 
     /// The document, checked.
     pub configuration: Arc<Configuration>,
@@ -139,18 +139,18 @@
             Ok(record) => record,
             Err(e) => return inner.skip(stored.offset, e.to_string()),
         };
-        let mut next = inner.checked.in_force.clone();
+        let mut next = InForce::clone(&inner.checked.in_force);
         match next.apply(stored.offset, &record, make) {
             Verdict::Accepted(version) => {
                 log::info!(version = version.0, offset = stored.offset.0; "configuration in force");
                 inner.put(next);
             }
             Verdict::Raced { in_force } => {
-                inner.checked.in_force = next;
+                inner.checked.in_force = Arc::new(next);
                 inner.skip(stored.offset, format!("version {in_force} was in force"));
             }
             Verdict::Invalid(why) => {
-                inner.checked.in_force = next;
+                inner.checked.in_force = Arc::new(next);
                 inner.skip(stored.offset, why);
             }
             Verdict::Nothing => inner.put(next),
@@ -170,7 +170,7 @@
         if let Some(last) = records.last() {
             inner.next = inner.next.max(last.offset.next());
         }
-        let mut next = inner.checked.in_force.clone();
+        let mut next = InForce::clone(&inner.checked.in_force);
         if next.adopt(&found) {
             inner.put(next);
         }
@@ -179,7 +179,7 @@
     /// Takes over a newer version from a peer.
     pub fn adopt(&self, other: &InForce) {
         let mut inner = self.inner.write();
-        let mut next = inner.checked.in_force.clone();
+        let mut next = InForce::clone(&inner.checked.in_force);
         if next.adopt(other) {
             log::info!(version = next.version.0; "configuration taken over from a peer");
             inner.put(next);
@@ -198,14 +198,14 @@
 
     fn put(&mut self, next: InForce) {
         if next.document == self.checked.in_force.document {
-            self.checked.in_force = next;
+            self.checked.in_force = Arc::new(next);
             return;
         }
         let value = serde_json::from_str(&next.document).unwrap_or(Value::Null);
         match check(&value) {
             Ok(configuration) => {
                 self.checked = Checked {
-                    in_force: next,
+                    in_force: Arc::new(next),
                     configuration: Arc::new(configuration),
                 };
             }
@@ -295,7 +295,7 @@
         let record = Record::Snapshot {
             version: in_force.version,
             upto,
-            document: in_force.document,
+            document: in_force.document.clone(),
         };
         daemon.pacer.acquire().await;
         daemon.metrics.log_appends.inc();
--- a/kingcupspan/src/controller/leases.rs
+++ b/kingcupspan/src/controller/leases.rs
@@ -45,6 +45,7 @@
 async fn tend_slot(daemon: Arc<Daemon>, n: usize) {
     let cell = &daemon.slots[n];
     let mut owner_since = daemon.clock.mono();
+    let mut looked_at = owner_since;
     loop {
         task::sleep(TICK).await;
         let now = daemon.clock.mono();
@@ -65,7 +66,9 @@
             Decision::Keep => {}
         }
         let patience_ms = ORPHAN_LEASES * daemon.settings.lease_ms;
-        if now.since(owner_since) > patience_ms {
+        let due = now.since(looked_at) > daemon.settings.lease_ms;
+        if due && now.since(owner_since) > patience_ms {
+            looked_at = now;
             settle_orphans(&daemon, cell);
         }
     }
--- a/kingcupspan/src/controller/slots.rs
+++ b/kingcupspan/src/controller/slots/mod.rs
@@ -1,10 +1,13 @@
-//! Slots: follow their streams, append what their owner proposes.
+//! Slots: their state under their own locks, and the tasks that keep each in
+//! line with its stream.
+
+mod copies;
+mod stream;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use async_std::{future, task};
 use event_listener::{Event, EventListener};
-use futures_lite::FutureExt;
 use kingcupspan_core::{
     id::{MonoMs, Offset, ProgramId, Slot, Writer},
     owner::Owner,
@@ -14,29 +17,11 @@
     slot::{Claim, SlotState},
 };
 
-use crate::{
-    daemon::Daemon,
-    edge::{peer, platform::LogError},
-};
+use crate::{daemon::Daemon, edge::peer};
 
 /// Records in one append.
 const BATCH_MAX: usize = 512;
 
-/// How long a read of the log waits for records.
-const READ_WAIT: Duration = Duration::from_millis(2_000);
-
-/// Pause after a failed request to the log.
-const LOG_BACKOFF: Duration = Duration::from_millis(100);
-
-/// How long an appended batch may take to be read back before it is sent again.
-const READ_BACK_MAX: Duration = Duration::from_millis(1_000);
-
-/// How long a peer may take to keep or return copies.
-const COPY_PATIENCE: Duration = Duration::from_millis(500);
-
-/// Snapshots in the time that the log keeps a record.
-const SNAPSHOTS_PER_RETENTION: u64 = 4;
-
 /// A slot with its own lock.
 pub struct Cell {
     /// The slot.
@@ -229,18 +214,24 @@
         self.notify();
     }
 
-    /// Notes that everything that was on the log at `now` has been read.
-    fn caught_up(&self, now: MonoMs) {
+    /// Notes that the log answered that there is nothing more to read.
+    fn end_reached(&self, now: MonoMs) {
         let mut inner = self.inner.lock();
         inner.read_at = Some(now);
         inner.replica.end_reached();
     }
 
+    /// Notes that a reader that has been at the end before has read on.
+    fn has_read(&self, now: MonoMs) {
+        let mut inner = self.inner.lock();
+        inner.read_at = inner.read_at.map(|_| now);
+    }
+
     fn next(&self) -> Offset {
         self.inner.lock().replica.next()
     }
 
-    /// When the stream was last known to be read to its end.
+    /// When the stream was last read, once its end has been reached.
     pub fn read_at(&self) -> Option<MonoMs> {
         self.inner.lock().read_at
     }
@@ -340,261 +331,13 @@
 pub async fn tend(daemon: Arc<Daemon>) {
     let mut tasks = Vec::new();
     for n in 0..daemon.slots.len() {
-        tasks.push(task::spawn(follow(Arc::clone(&daemon), n)));
-        tasks.push(task::spawn(append(Arc::clone(&daemon), n)));
-        tasks.push(task::spawn(copy(Arc::clone(&daemon), n)));
-        tasks.push(task::spawn(gather(Arc::clone(&daemon), n)));
-        tasks.push(task::spawn(snapshot(Arc::clone(&daemon), n)));
+        tasks.push(task::spawn(stream::follow(Arc::clone(&daemon), n)));
+        tasks.push(task::spawn(stream::append(Arc::clone(&daemon), n)));
+        tasks.push(task::spawn(copies::keep(Arc::clone(&daemon), n)));
+        tasks.push(task::spawn(copies::gather(Arc::clone(&daemon), n)));
+        tasks.push(task::spawn(stream::snapshot(Arc::clone(&daemon), n)));
     }
     for running in tasks {
         running.await;
     }
 }
-
-/// Reads the slot's stream.
-async fn follow(daemon: Arc<Daemon>, n: usize) {
-    let cell = &daemon.slots[n];
-    let stream = cell.stream();
-    loop {
-        let asked = daemon.clock.mono();
-        let from = cell.next();
-        let read = daemon.log.read(&stream, from, READ_WAIT);
-        // A slot that is lost meanwhile is read again from the beginning.
-        let lost = async {
-            cell.wait(Duration::MAX, || (cell.next() < from).then_some(()))
-                .await;
-            None
-        };
-        let Some(read) = async { Some(read.await) }.or(lost).await else {
-            continue;
-        };
-        let now = daemon.clock.mono();
-        match read {
-            Ok(records) if records.is_empty() => {
-                daemon.log_health.read_worked();
-                cell.caught_up(asked);
-            }
-            Ok(records) => {
-                daemon.log_health.read_worked();
-                for stored in records {
-                    match rmp_serde::from_slice(&stored.bytes) {
-                        Ok(batch) => cell.fold(stored.offset, &batch, now),
-                        Err(e) => skip_unreadable(cell, stored.offset, &e),
-                    }
-                }
-            }
-            Err(LogError::Expired { oldest }) => cell.inner.lock().replica.restart(oldest),
-            Err(e) => {
-                daemon.metrics.log_errors.inc();
-                daemon.log_health.read_failed(now);
-                cell.notify();
-                log::debug!(slot = cell.slot.0, error = e.to_string().as_str(); "cannot read the log");
-                task::sleep(LOG_BACKOFF).await;
-            }
-        }
-    }
-}
-
-fn skip_unreadable(cell: &Cell, offset: Offset, e: &rmp_serde::decode::Error) {
-    log::error!(slot = cell.slot.0, offset = offset.0, error = e.to_string().as_str();
-        "a record of the log cannot be read and is skipped");
-    cell.inner.lock().replica.skip(offset);
-}
-
-/// Appends what the owner proposes.
-async fn append(daemon: Arc<Daemon>, n: usize) {
-    let cell = &daemon.slots[n];
-    let stream = cell.stream();
-    loop {
-        let proposed = cell.proposed.listen();
-        let Some(batch) = cell.batch() else {
-            proposed.await;
-            continue;
-        };
-        daemon.pacer.acquire().await;
-        // More may have been proposed while the append had to wait.
-        let batch = cell.batch().unwrap_or(batch);
-        append_once(&daemon, cell, &stream, &batch).await;
-    }
-}
-
-async fn append_once(daemon: &Arc<Daemon>, cell: &Cell, stream: &str, batch: &Batch) {
-    daemon.metrics.log_appends.inc();
-    match daemon.log.append(stream, peer::encode(batch)).await {
-        Ok(offset) => {
-            daemon.log_health.append_worked();
-            cell.fold(offset, batch, daemon.clock.mono());
-            await_read_back(cell, batch).await;
-        }
-        Err(LogError::Limited) => task::sleep(LOG_BACKOFF).await,
-        Err(e) => {
-            daemon.metrics.log_errors.inc();
-            daemon.log_health.append_failed(daemon.clock.mono());
-            cell.notify();
-            log::warn!(slot = cell.slot.0, error = e.to_string().as_str(); "cannot append to the log");
-            task::sleep(LOG_BACKOFF).await;
-        }
-    }
-}
-
-/// Waits until the reader has come past an appended batch.
-async fn await_read_back(cell: &Cell, batch: &Batch) {
-    let Batch::Owned { epoch, entries, .. } = batch else {
-        return;
-    };
-    let Some(last) = entries.last() else {
-        return;
-    };
-    cell.wait(READ_BACK_MAX, || {
-        cell.inner
-            .lock()
-            .replica
-            .is_past(*epoch, last.seq)
-            .then_some(())
-    })
-    .await;
-}
-
-/// Has pending records kept by peers while the log is away.
-async fn copy(daemon: Arc<Daemon>, n: usize) {
-    let cell = &daemon.slots[n];
-    loop {
-        let changed = cell.changed.listen();
-        let proposed = cell.proposed.listen();
-        let away = daemon.log_health.is_away(daemon.clock.mono());
-        match cell
-            .batch()
-            .filter(|b| away && cell.inner.lock().replica.lacks_copies(b))
-        {
-            Some(batch) if copy_to_peers(&daemon, cell, &batch).await => {}
-            Some(_) => task::sleep(LOG_BACKOFF).await,
-            None => changed.race(proposed).await,
-        }
-    }
-}
-
-/// Has records kept by daemons of other failure domains while the log is away;
-/// one that is cut off with its own domain only takes what peers it has.
-async fn copy_to_peers(daemon: &Arc<Daemon>, cell: &Cell, batch: &Batch) -> bool {
-    let Batch::Owned {
-        writer,
-        epoch,
-        entries,
-    } = batch
-    else {
-        return false;
-    };
-    let Some(last) = entries.last() else {
-        return false;
-    };
-    let message = peer::Copy {
-        slot: cell.slot,
-        writer: writer.clone(),
-        epoch: *epoch,
-        entries: entries.clone(),
-    };
-    let peers = daemon.membership.keepers(daemon.clock.mono());
-    let mut kept = 0;
-    for keeper in peers {
-        let answer = peer::ask(
-            &daemon.client,
-            keeper.addr,
-            peer::COPY,
-            &message,
-            COPY_PATIENCE,
-        );
-        match answer.await {
-            Ok(Copied::Kept) => kept += 1,
-            Ok(Copied::Fenced) => return false,
-            Err(e) => {
-                log::debug!(vm = keeper.vm.as_str(), error = e.to_string().as_str(); "no copy kept");
-            }
-        }
-    }
-    if kept > 0 {
-        cell.inner.lock().replica.copies_kept(*epoch, last.seq);
-        cell.notify();
-    }
-    kept > 0
-}
-
-/// Gathers copies from peers after a claim, then begins to serve.
-async fn gather(daemon: Arc<Daemon>, n: usize) {
-    let cell = &daemon.slots[n];
-    loop {
-        let changed = cell.changed.listen();
-        let Some(gathering) = cell.inner.lock().replica.gathering() else {
-            changed.await;
-            continue;
-        };
-        let mut copies = Vec::new();
-        if let Some(upto) = gathering.upto() {
-            copies.extend(cell.seal_copies(upto));
-            copies.extend(ask_for_copies(&daemon, cell.slot, upto).await);
-        }
-        cell.serve(&gathering, copies);
-    }
-}
-
-async fn ask_for_copies(daemon: &Arc<Daemon>, slot: Slot, upto: Offset) -> Vec<Kept> {
-    let peers = daemon.membership.peers(daemon.clock.mono());
-    let asked: Vec<_> = peers
-        .into_iter()
-        .map(|to| task::spawn(ask_one_for_copies(Arc::clone(daemon), to, slot, upto)))
-        .collect();
-    let mut copies = Vec::new();
-    for answer in asked {
-        copies.extend(answer.await);
-    }
-    copies
-}
-
-/// Asks a peer for as long as it counts as alive: it may hold what a caller
-/// has been told to be kept.
-async fn ask_one_for_copies(
-    daemon: Arc<Daemon>,
-    to: peer::Peer,
-    slot: Slot,
-    upto: Offset,
-) -> Vec<Kept> {
-    let message = peer::Copies { slot, upto };
-    loop {
-        let ask = peer::ask(
-            &daemon.client,
-            to.addr,
-            peer::COPIES,
-            &message,
-            COPY_PATIENCE,
-        );
-        let answer: Result<Vec<Kept>, _> = ask.await;
-        match answer {
-            Ok(entries) => return entries,
-            Err(_) if daemon.membership.answers(&to.vm, daemon.clock.mono()) => {
-                task::sleep(LOG_BACKOFF).await;
-            }
-            Err(_) => return Vec::new(),
-        }
-    }
-}
-
-/// Writes snapshots well before the last one expires.
-async fn snapshot(daemon: Arc<Daemon>, n: usize) {
-    let cell = &daemon.slots[n];
-    let every_ms = daemon.settings.platform.retention_ms / SNAPSHOTS_PER_RETENTION;
-    loop {
-        task::sleep(Duration::from_millis((every_ms / 4).max(1))).await;
-        let due = daemon.clock.mono().since(cell.inner.lock().snapshot_at) >= every_ms;
-        if due && !daemon.log_health.is_away(daemon.clock.mono()) {
-            propose_snapshot(cell, daemon.clock.mono());
-        }
-    }
-}
-
-fn propose_snapshot(cell: &Cell, now: MonoMs) {
-    let mut inner = cell.inner.lock();
-    if inner.replica.propose_snapshot().is_ok() {
-        inner.snapshot_at = now;
-        drop(inner);
-        cell.proposed.notify(usize::MAX);
-    }
-}
--- a/kingcupspan/src/filter/send.rs
+++ b/kingcupspan/src/filter/send.rs
@@ -114,7 +114,7 @@
             return failed(cx, &decoded, Problem::not_run(Kind::BadRequest, detail));
         }
         note_failure(cx, &error, &mut tried).await;
-        turn::give_back(cx).await;
+        turn::give_back(cx);
         if !may_retry(cx, attempt).await {
             let detail = format!("no engine answered in {attempt} attempts: {error}");
             return failed(cx, &decoded, unavailable(detail));
@@ -372,7 +372,7 @@
         };
         log_attempt(cx, attempt, &error);
         note_failure(cx, &error, &mut tried).await;
-        turn::give_back(cx).await;
+        turn::give_back(cx);
         let not_run = matches!(error, RunError::NotRun(_));
         if cx.repeat == Repeat::NonIdempotent && !not_run {
             let detail = format!("the call was sent and its answer is lost: {error}");
--- a/kingcupspan/src/filter/turn.rs
+++ b/kingcupspan/src/filter/turn.rs
@@ -233,11 +233,11 @@
     };
     let prepared = prepare(&mut cx).await;
     if let Err(problem) = prepared {
-        give_back(&mut cx).await;
+        give_back(&mut cx);
         return cx.answer(Err(problem)).await;
     }
     let ended = send::run(&mut cx).await;
-    give_back(&mut cx).await;
+    give_back(&mut cx);
     account::run(&mut cx, ended).await;
 }
 
@@ -247,12 +247,16 @@
     budget_filter::reserve(cx).await
 }
 
-/// Gives back the place at the endpoint.
-pub async fn give_back(cx: &mut TurnCx) {
-    if let Some(held) = cx.held.take() {
-        let cost = cx.cost.prompt_tokens + cx.cost.decoded_tokens;
-        grants::release(&cx.daemon, &held.endpoint, held.ticket, cost).await;
-    }
+/// Gives back the place at the endpoint; nobody waits for that.
+pub fn give_back(cx: &mut TurnCx) {
+    let Some(held) = cx.held.take() else {
+        return;
+    };
+    let cost = cx.cost.prompt_tokens + cx.cost.decoded_tokens;
+    let daemon = Arc::clone(&cx.daemon);
+    task::spawn(async move {
+        grants::release(&daemon, &held.endpoint, held.ticket, cost).await;
+    });
 }
 
 /// The stored outcome of a turn as an answer.
--- a/kingcupspan/src/peers.rs
+++ b/kingcupspan/src/peers.rs
@@ -61,7 +61,7 @@
             grants::release_here(daemon, &peer::decode(bytes)?);
             Ok(peer::response(&()))
         }
-        peer::CONFIGURATION => Ok(peer::response(&daemon.configuration.get().in_force)),
+        peer::CONFIGURATION => Ok(peer::response(&*daemon.configuration.get().in_force)),
         quarantine::PATH => {
             daemon.quarantine.apply(&peer::decode(bytes)?);
             Ok(peer::response(&()))
--- a/kingcupspan_config/src/configuration.rs
+++ b/kingcupspan_config/src/configuration.rs
@@ -42,15 +42,13 @@
 
 impl Configuration {
     fn read(node: &node::Node<'_>) -> Self {
-        let defaults = node.child("defaults");
         let configuration = Self {
-            defaults: limits::Limits::default().overlay(&defaults),
+            defaults: read_defaults(node),
             exceptions: node.list("exceptions", exception::Exception::read),
             callers: node.list("callers", caller::Caller::read),
             services: node.list("services", service::Service::read),
             endpoints: node.list("endpoints", endpoint::Endpoint::read),
         };
-        defaults.refuse_unknown();
         node.refuse_unknown();
         configuration.cross_check(node);
         configuration
@@ -115,6 +113,16 @@
     }
 }
 
+fn read_defaults(node: &node::Node<'_>) -> limits::Limits {
+    if !node.has("defaults") {
+        return limits::Limits::default();
+    }
+    let defaults = node.child("defaults");
+    let limits = limits::Limits::default().overlay(&defaults);
+    defaults.refuse_unknown();
+    limits
+}
+
 fn refuse_twice<T: Ord + fmt::Display>(
     node: &node::Node<'_>,
     field: &str,
--- a/kingcupspan_core/src/lib.rs
+++ b/kingcupspan_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod program;
 pub mod quarantine;
+pub mod reader;
 pub mod record;
 pub mod rendezvous;
 pub mod replica;
--- a/kingcupspan_core/src/replica.rs
+++ b/kingcupspan_core/src/replica.rs
@@ -8,8 +8,9 @@
 use crate::{
     id::{Offset, Seq, Writer},
     owner::{self, Owner},
+    reader::Reader,
     record::{Batch, Entry, Record, RecordId},
-    slot::{self, Claim, Reader, Refusal, SlotState},
+    slot::{self, Claim, Refusal, SlotState},
 };
 
 /// What a daemon is to a slot.
--- a/kingcupspan_core/tests/spec/invariants.rs
+++ b/kingcupspan_core/tests/spec/invariants.rs
@@ -2,11 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use kingcupspan_core::{
-    program::Program,
-    record::Outcome,
-    slot::{Reader, SlotState},
-};
+use kingcupspan_core::{program::Program, reader::Reader, record::Outcome, slot::SlotState};
 
 use crate::{
     bounds::Bounds,
--- a/kingcupspan_core/tests/spec/world.rs
+++ b/kingcupspan_core/tests/spec/world.rs
@@ -12,9 +12,9 @@
     budget::Amount,
     digest::Digest,
     id::{Fence, Offset, ProgramId, Slot, VmId, WallMs, Writer},
+    reader::Reader,
     record::{Batch, Open, Record, RecordId},
     replica::Replica,
-    slot::Reader,
 };
 
 use crate::bounds::{Bounds, Task};
--- a/kingcupspan_standin/src/cli.rs
+++ b/kingcupspan_standin/src/cli.rs
@@ -132,4 +132,28 @@
         #[bpaf(argument("X"), fallback(1.0))]
         factor: f64,
     },
+
+    /// Measures what the way through daemon and owner adds to a call.
+    #[bpaf(command)]
+    Overhead,
+
+    /// Opens programs at an entry daemon and leaves them open.
+    #[bpaf(command)]
+    Open {
+        /// The daemon's address for callers.
+        #[bpaf(argument("ADDR"))]
+        entry: net::SocketAddr,
+
+        /// The caller's key.
+        #[bpaf(argument("KEY"))]
+        key: String,
+
+        /// The workspace.
+        #[bpaf(argument("WORKSPACE"))]
+        workspace: String,
+
+        /// How many.
+        #[bpaf(argument("N"))]
+        programs: usize,
+    },
 }
--- a/kingcupspan_standin/src/lib.rs
+++ b/kingcupspan_standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod load;
 pub mod log_service;
+pub mod overhead;
 pub mod relay;
 pub mod sample;
 pub mod scenario;
--- a/kingcupspan_standin/src/load.rs
+++ b/kingcupspan_standin/src/load.rs
@@ -267,7 +267,8 @@
         Ok(()) => {
             t.seen.finished += 1;
             t.seen.in_time += u64::from(took.as_secs_f64() <= scenario.in_time_s);
-            t.latency.saturating_record(took.as_millis() as u64);
+            // A histogram that grows takes every value.
+            let _ = t.latency.record(took.as_millis() as u64);
         }
         Err(Failure::Wrong(_)) => t.seen.wrong += 1,
         Err(f) if f.kind() == Some(Kind::OverShare) => t.seen.given_up += 1,
--- a/kingcupspan_standin/src/log_service.rs
+++ b/kingcupspan_standin/src/log_service.rs
@@ -41,6 +41,7 @@
 struct Stream {
     first: u64,
     records: VecDeque<(Instant, String)>,
+    appended: Arc<Event>,
 }
 
 impl Stream {
@@ -64,7 +65,6 @@
 pub struct Log {
     options: Options,
     streams: parking_lot::Mutex<HashMap<String, Stream>>,
-    appended: Event,
     appends: parking_lot::Mutex<Appends>,
 
     /// What it does wrong.
@@ -83,7 +83,6 @@
         Arc::new(Self {
             options,
             streams: parking_lot::Mutex::default(),
-            appended: Event::new(),
             appends: parking_lot::Mutex::new(Appends {
                 total: 0,
                 second: Instant::now(),
@@ -130,12 +129,18 @@
         stream
             .records
             .push_back((Instant::now(), hex::encode(bytes)));
+        let appended = Arc::clone(&stream.appended);
         drop(streams);
         self.appends.lock().total += 1;
-        self.appended.notify(usize::MAX);
+        appended.notify(usize::MAX);
         offset
     }
 
+    fn appended(&self, stream: &str) -> Arc<Event> {
+        let mut streams = self.streams.lock();
+        Arc::clone(&streams.entry(stream.to_owned()).or_default().appended)
+    }
+
     fn page(&self, stream: &str, from: u64) -> Result<Vec<(u64, String)>, u64> {
         let mut streams = self.streams.lock();
         let stream = streams.entry(stream.to_owned()).or_default();
@@ -154,7 +159,7 @@
     async fn read(&self, stream: &str, from: u64, wait: Duration) -> Response {
         let until = Instant::now() + wait;
         loop {
-            let appended = self.appended.listen();
+            let appended = self.appended(stream).listen();
             match self.page(stream, from) {
                 Err(oldest) => return http::json(410, &json!({"oldest": oldest})),
                 Ok(page) if !page.is_empty() => return page_response(&page),
--- a/kingcupspan_standin/src/main.rs
+++ b/kingcupspan_standin/src/main.rs
@@ -5,7 +5,7 @@
 use async_std::task;
 use kingcupspan_standin::{
     cli::{self, Options},
-    compare, engine, http, load, log_service, service, try_run, vm_list, weights,
+    compare, engine, http, load, log_service, overhead, service, try_run, vm_list, weights,
 };
 
 /// Exit code of a stand-in or driver that could not do its work.
@@ -31,6 +31,13 @@
             seeds,
             factor,
         } => Ok(compare::run(&scenario, seeds, factor)?),
+        Options::Overhead => Ok(overhead::run()?),
+        Options::Open {
+            entry,
+            key,
+            workspace,
+            programs,
+        } => Ok(overhead::open(entry, &key, &workspace, programs)?),
         stand_in => task::block_on(async {
             start(stand_in).await?.wait().await;
             Ok(())
@@ -98,8 +105,10 @@
             });
             service::start(listen, service).await
         }
-        Options::Try { .. } | Options::Load { .. } | Options::Compare { .. } => {
-            Err(io::ErrorKind::Unsupported.into())
-        }
+        Options::Try { .. }
+        | Options::Load { .. }
+        | Options::Compare { .. }
+        | Options::Overhead
+        | Options::Open { .. } => Err(io::ErrorKind::Unsupported.into()),
     }
 }
--- /dev/null
+++ b/kingcupspan_standin/src/overhead.rs
@@ -0,0 +1,229 @@
+//! What the way through daemon and owner adds to a call, and what a program
+//! costs in memory.
+
+use std::{
+    net,
+    sync::{Arc, atomic},
+    time::{Duration, Instant},
+};
+
+use async_std::task;
+use hdrhistogram::Histogram;
+use kingcupspan::edge::client::{Client, Outgoing};
+use kingcupspan_core::digest::Digest;
+use serde_json::{Value, json};
+
+use crate::{
+    caller::{Caller, Failure, Service},
+    embedded::{self, Plan, StartError},
+    engine, log_service, service,
+};
+
+/// Concurrent programs.
+const CONCURRENT: [usize; 3] = [1, 64, 512];
+
+/// How long each is measured.
+const MEASURED: Duration = Duration::from_secs(4);
+
+/// Key of the only caller.
+const KEY: &str = "overhead-key";
+
+type Latencies = Arc<parking_lot::Mutex<Histogram<u64>>>;
+
+/// Why the measurement failed.
+#[derive(Debug, thiserror::Error)]
+pub enum OverheadError {
+    /// The deployment did not start.
+    #[error("cannot start: {0}")]
+    Start(#[from] StartError),
+
+    /// A request failed.
+    #[error("a request failed: {0}")]
+    Failed(#[from] Failure),
+}
+
+fn plan() -> Plan {
+    Plan {
+        configuration: json!({
+            "defaults": {"waiting_calls": 100_000, "budget_calls": 1_000_000_000_u64},
+            "callers": [{
+                "caller": "bench", "key_sha256": Digest::of(KEY.as_bytes()).to_string(),
+                "workspaces": ["bench"],
+            }],
+            "services": [{"service": "echo", "operations": [
+                {"path": "look", "repeat": "idempotent"},
+                {"path": "act", "repeat": "non-idempotent"},
+            ]}],
+            "endpoints": [{
+                "endpoint": "echo-1", "vm": "echo-vm", "failure_domain": "a",
+                "addr": "127.0.0.1:1", "service": "echo", "slots": 10_000,
+            }],
+        }),
+        daemons: vec!["a".to_owned(), "b".to_owned(), "c".to_owned()],
+        engine: engine::Options::default(),
+        service: service::Options {
+            time: Duration::ZERO,
+            ..service::Options::default()
+        },
+        log: log_service::Options {
+            appends_per_s: 100_000,
+            ..log_service::Options::default()
+        },
+        settings: Value::Null,
+    }
+}
+
+/// Measures direct calls, idempotent and non-idempotent ones.
+pub fn run() -> Result<(), OverheadError> {
+    task::block_on(async {
+        println!("three daemons and all stand-ins in one process; latency in microseconds");
+        println!("concurrent  way              calls/s      p50      p99");
+        for concurrent in CONCURRENT {
+            let running = embedded::start(plan()).await?;
+            let addr = running.configuration["endpoints"][0]["addr"].as_str();
+            let addr = addr.and_then(|a| a.parse().ok());
+            let addr: net::SocketAddr = addr.unwrap_or(([127, 0, 0, 1], 1).into());
+            let direct = measure(concurrent, |_| direct_loop(addr)).await?;
+            print(concurrent, "direct", &direct);
+            let caller = Caller::new(running.entries(), KEY);
+            let look = measure(concurrent, |n| service_loop(caller.clone(), n, false)).await?;
+            print(concurrent, "idempotent", &look);
+            let act = measure(concurrent, |n| service_loop(caller.clone(), n, true)).await?;
+            print(concurrent, "non-idempotent", &act);
+            running.drain();
+        }
+        Ok(())
+    })
+}
+
+fn print(concurrent: usize, way: &str, latencies: &Latencies) {
+    let latencies = latencies.lock();
+    println!(
+        "{concurrent:>10}  {way:<14} {:>9.0} {:>8} {:>8}",
+        latencies.len() as f64 / MEASURED.as_secs_f64(),
+        latencies.value_at_quantile(0.5),
+        latencies.value_at_quantile(0.99),
+    );
+}
+
+/// One worker's calls, each noted in the histogram until time is over.
+struct Worker {
+    latencies: Latencies,
+    until: Instant,
+}
+
+impl Worker {
+    fn goes_on(&self) -> bool {
+        Instant::now() < self.until
+    }
+
+    fn note(&self, begun: Instant) {
+        // A histogram that grows takes every value.
+        let _ = self
+            .latencies
+            .lock()
+            .record(begun.elapsed().as_micros() as u64);
+    }
+}
+
+async fn measure<F, Fut>(
+    concurrent: usize,
+    start: impl Fn(usize) -> F,
+) -> Result<Latencies, Failure>
+where
+    F: FnOnce(Worker) -> Fut,
+    Fut: Future<Output = Result<(), Failure>> + Send + 'static,
+{
+    let latencies: Latencies = Arc::new(parking_lot::Mutex::new(
+        Histogram::new(3).expect("three significant digits are valid"),
+    ));
+    let until = Instant::now() + MEASURED;
+    let workers: Vec<_> = (0..concurrent)
+        .map(|n| {
+            let worker = Worker {
+                latencies: Arc::clone(&latencies),
+                until,
+            };
+            task::spawn(start(n)(worker))
+        })
+        .collect();
+    for worker in workers {
+        worker.await?;
+    }
+    Ok(latencies)
+}
+
+fn direct_loop(
+    addr: net::SocketAddr,
+) -> impl FnOnce(Worker) -> std::pin::Pin<Box<dyn Future<Output = Result<(), Failure>> + Send>> {
+    move |worker| {
+        Box::pin(async move {
+            let client = Client::default();
+            while worker.goes_on() {
+                let begun = Instant::now();
+                let out = Outgoing::post(addr, "/look", b"{}".to_vec());
+                client.send(out).await?.bytes(1 << 20).await?;
+                worker.note(begun);
+            }
+            Ok(())
+        })
+    }
+}
+
+fn service_loop(
+    caller: Caller,
+    n: usize,
+    acts: bool,
+) -> impl FnOnce(Worker) -> std::pin::Pin<Box<dyn Future<Output = Result<(), Failure>> + Send>> {
+    move |worker| {
+        Box::pin(async move {
+            let mut program = caller.open("bench", None, None).await?;
+            while worker.goes_on() {
+                let key = format!("k-{n}-{}", program.turn);
+                let call = Service {
+                    service: "echo",
+                    path: if acts { "act" } else { "look" },
+                    body: "{}",
+                    key: acts.then_some(key.as_str()),
+                };
+                let begun = Instant::now();
+                caller.service(&mut program, &call).await?;
+                worker.note(begun);
+            }
+            Ok(())
+        })
+    }
+}
+
+/// Opens programs at an entry daemon and leaves them open.
+pub fn open(
+    entry: net::SocketAddr,
+    key: &str,
+    workspace: &str,
+    programs: usize,
+) -> Result<(), OverheadError> {
+    const AT_ONCE: usize = 64;
+    let left = Arc::new(atomic::AtomicUsize::new(programs));
+    let caller = Caller::new(vec![entry], key);
+    task::block_on(async {
+        let workers: Vec<_> = (0..AT_ONCE)
+            .map(|_| {
+                let caller = caller.clone();
+                let left = Arc::clone(&left);
+                let workspace = workspace.to_owned();
+                task::spawn(async move {
+                    let take = |n: usize| n.checked_sub(1);
+                    let order = atomic::Ordering::SeqCst;
+                    while left.fetch_update(order, order, take).is_ok() {
+                        caller.open(&workspace, None, None).await?;
+                    }
+                    Ok::<(), Failure>(())
+                })
+            })
+            .collect();
+        for worker in workers {
+            worker.await?;
+        }
+        Ok(())
+    })
+}
