--- a/kingcupspan/src/controller/configuration.rs
+++ b/kingcupspan/src/controller/configuration.rs
@@ -7,7 +7,7 @@
 use kingcupspan_config::{configuration::Configuration, finding::Findings};
 use kingcupspan_core::{
     document::{Change, InForce, Record, Verdict},
-    id::{MonoMs, Offset, Version},
+    id::{Offset, Version},
     rendezvous,
 };
 use serde::Serialize;
@@ -62,7 +62,6 @@
     next: Offset,
     skipped: u64,
     last_skipped: Option<String>,
-    snapshot_at: MonoMs,
 }
 
 /// State of the configuration for the dump.
@@ -302,6 +301,5 @@
         if let Err(e) = daemon.log.append(STREAM, peer::encode(&record)).await {
             log::warn!(error = e.to_string().as_str(); "no snapshot of the configuration written");
         }
-        daemon.configuration.inner.write().snapshot_at = now;
     }
 }
--- a/kingcupspan/src/edge/peer.rs
+++ b/kingcupspan/src/edge/peer.rs
@@ -6,7 +6,7 @@
     document, fair,
     id::{CallerId, EndpointId, ModelId, Offset, ProgramId, ServiceId, Slot, Turn, VmId},
     id::{WorkspaceId, Writer},
-    record, usage,
+    record,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -39,9 +39,6 @@
 /// Path that asks for the configuration in force.
 pub const CONFIGURATION: &str = "/peer/configuration";
 
-/// Path that asks for what a daemon has refused and made wait.
-pub const REFUSALS: &str = "/peer/refusals";
-
 /// A sign of life, and its answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -244,38 +241,6 @@
 /// Answer to [`CONFIGURATION`].
 pub type InForce = document::InForce;
 
-/// Refusals and waiting of a caller at one daemon since its start.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::AddAssign,
-)]
-pub struct Refusals {
-    /// Requests refused because the caller was over its share.
-    pub over_share: u64,
-
-    /// Requests refused for other reasons.
-    pub other: u64,
-}
-
-/// A caller's refusals.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct CallerRefusals {
-    /// The caller.
-    pub caller: CallerId,
-
-    /// What was refused.
-    pub refusals: Refusals,
-}
-
-/// What an account says of one caller and workspace.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct UsageRow {
-    /// Whom it is accounted to.
-    pub key: usage::Key,
-
-    /// What it cost.
-    pub cost: usage::Cost,
-}
-
 /// Address of a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
--- a/kingcupspan/src/filter/budget.rs
+++ b/kingcupspan/src/filter/budget.rs
@@ -15,7 +15,7 @@
         peer::Target,
         problem::{Kind, Problem},
     },
-    filter::{program, turn::TurnCx},
+    filter::{account, program, turn::TurnCx},
 };
 
 /// Tokens that a message may add beyond its text.
@@ -106,7 +106,7 @@
     };
     match e {
         CommitError::Lost => {
-            super::account::report_fate(cx, proposed.epoch, finish);
+            account::report_fate(cx, proposed.epoch, finish);
             match cx.repeat {
                 // The entry daemon asks the new owner, which knows of no answer.
                 Repeat::Idempotent => program::moved(),
--- a/kingcupspan/src/filter/place.rs
+++ b/kingcupspan/src/filter/place.rs
@@ -4,7 +4,11 @@
 
 use async_std::task;
 use kingcupspan_core::{
-    digest::Digest, fair, id::EndpointId, placement::Need, quarantine::Standing,
+    digest::Digest,
+    fair,
+    id::{EndpointId, MonoMs},
+    placement::Need,
+    quarantine::Standing,
 };
 
 use crate::{
@@ -139,7 +143,7 @@
     }
 }
 
-fn note_wait(cx: &mut TurnCx, begun: kingcupspan_core::id::MonoMs) {
+fn note_wait(cx: &mut TurnCx, begun: MonoMs) {
     let waited_ms = cx.daemon.clock.mono().since(begun);
     cx.cost.waited_ms += waited_ms;
     let seconds = waited_ms as f64 / 1_000.0;
--- a/kingcupspan/src/filter/send.rs
+++ b/kingcupspan/src/filter/send.rs
@@ -20,7 +20,7 @@
         client::Patience,
         endpoint::{self, ModelCall, Piece, RunError, ServiceCall, Usage},
         peer::Target,
-        problem::{Kind, Problem},
+        problem::{Kind, Problem, Ran},
     },
     filter::{
         place,
@@ -128,7 +128,7 @@
 fn unavailable(detail: String) -> Problem {
     Problem {
         // A model call has no effect but its answer, which is discarded.
-        ran: crate::edge::problem::Ran::Unknown,
+        ran: Ran::Unknown,
         ..Problem::not_run(Kind::Unavailable, detail).retry_after(1)
     }
 }
--- a/kingcupspan_core/src/id.rs
+++ b/kingcupspan_core/src/id.rs
@@ -1,6 +1,6 @@
 //! Checked names and numbers.
 
-use std::{fmt, num, str};
+use std::{num, str};
 
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
@@ -292,9 +292,3 @@
         self.0.saturating_sub(earlier.0)
     }
 }
-
-impl fmt::LowerHex for Slot {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::LowerHex::fmt(&self.0, f)
-    }
-}
--- a/kingcupspan_standin/src/engine.rs
+++ b/kingcupspan_standin/src/engine.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io, net,
+    io, net, process,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,6 +18,9 @@
 
 use crate::{faults, http, text};
 
+/// Exit code of an engine that a prompt has crashed.
+const EXIT_CRASHED: i32 = 70;
+
 /// Options of an engine.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -302,7 +305,7 @@
             return;
         };
         if messages.iter().any(|m| text::content(m).contains(mark)) {
-            std::process::exit(70);
+            process::exit(EXIT_CRASHED);
         }
     }
 
@@ -331,7 +334,7 @@
                 return;
             }
         }
-        self.finish(&call, &id, &words, skip);
+        self.finish(&call, &words, skip);
         drop(in_batch);
         let end = end_event(&call, &id, words.len());
         writer.write(end.into_bytes()).await;
@@ -345,7 +348,7 @@
         self.options.token.mul_f64(1.0 + running / batch)
     }
 
-    fn finish(&self, call: &Call, _id: &str, words: &[String], skip: usize) {
+    fn finish(&self, call: &Call, words: &[String], skip: usize) {
         self.keep(call, &words.join(" "));
         let mut inner = self.inner.lock();
         inner.done.calls += 1;
--- a/kingcupspan_standin/src/service.rs
+++ b/kingcupspan_standin/src/service.rs
@@ -1,6 +1,6 @@
 //! A plain service: runs any operation and counts what it ran.
 
-use std::{collections::BTreeMap, io, net, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, net, process, sync::Arc, time::Duration};
 
 use async_std::task;
 use http_types::Response;
@@ -10,6 +10,9 @@
 
 use crate::{faults, http};
 
+/// Exit code of a service that a body has crashed.
+const EXIT_CRASHED: i32 = 70;
+
 /// Options of a service.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -125,7 +128,7 @@
             return;
         };
         if String::from_utf8_lossy(body).contains(mark) {
-            std::process::exit(70);
+            process::exit(EXIT_CRASHED);
         }
     }
 
--- /dev/null
+++ b/kingcupspan_standin/tests/command_line.rs
@@ -0,0 +1,54 @@
+//! The stand-ins' program as a stranger starts it.
+
+use std::{
+    path,
+    process::{Command, Output},
+    time::{Duration, Instant},
+};
+
+/// Longest time of `try` after the build.
+const TRY_MAX: Duration = Duration::from_secs(20);
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_kingcupspan_standin"))
+        .args(args)
+        .output()
+        .expect("the program runs")
+}
+
+#[test]
+fn every_command_has_help() {
+    let commands = [
+        "log", "vms", "weights", "engine", "service", "try", "load", "compare", "overhead", "open",
+    ];
+    for command in commands {
+        let output = run(&[command, "--help"]);
+        let help = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert!(output.status.success(), "{command}: {output:?}");
+        assert!(help.contains("Usage:"), "{command}: {help}");
+    }
+}
+
+#[test]
+fn try_runs_both_deployments_and_prints_their_accounts() {
+    let examples = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples");
+    let begun = Instant::now();
+    let output = run(&[
+        "try",
+        "--examples",
+        examples.to_str().expect("a path in UTF-8"),
+    ]);
+    let took = begun.elapsed();
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(output.status.success(), "{output:?}");
+    for expected in [
+        "deployment magnolia",
+        "deployment plumilla",
+        "repeated with the same answer: true",
+        "shop-clerks/estimates",
+        "franchisees/fitting",
+    ] {
+        assert!(said.contains(expected), "{expected} is missing in {said}");
+    }
+    assert!(took < TRY_MAX, "{took:?}");
+}
