Show whose overload it is, wherever it was refused

'usage' did not show refusals at all.

Ruled out: counting at the owner as well (one refusal would count twice).

Change: a forwarded refusal becomes one of the entry daemon, which counts it by caller; 'usage' shows the refusals of all daemons that answer, most over-share first. The stand-in's cache events are late as well as with gaps.

--- a/kingcupspan/src/command/ask.rs
+++ b/kingcupspan/src/command/ask.rs
@@ -1,6 +1,6 @@
 //! `dump`, `usage` and `drain`: questions to a running daemon.
 
-use std::net;
+use std::{cmp, net};
 
 use async_std::task;
 use http_types::Method;
@@ -8,10 +8,11 @@
     id::CallerId,
     usage::{Account, Cost},
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::{
     command::EXIT_FAILED,
+    controller::refusals::ByCaller,
     edge::client::{Client, Outgoing, SendError},
 };
 
@@ -71,25 +72,45 @@
     })
 }
 
-/// Shows who used what.
+/// Shows who used what and who was refused.
 pub fn usage(daemon: net::SocketAddr, caller: Option<&CallerId>, json: bool) -> u8 {
+    let wanted = |name: &CallerId| caller.is_none_or(|c| c == name);
     print_or_fail(ask(Method::Get, daemon, "/usage"), |body| {
         let account: Result<Account, _> = serde_json::from_slice(body);
         let Ok(mut account) = account else {
             eprintln!("the daemon's account cannot be read");
             return EXIT_FAILED;
         };
-        account
-            .0
-            .retain(|key, _| caller.is_none_or(|c| key.caller == *c));
-        match json {
-            true => println!("{:#}", serde_json::json!(account)),
-            false => print!("{}", table(&account)),
-        }
-        0
+        account.0.retain(|key, _| wanted(&key.caller));
+        print_or_fail(ask(Method::Get, daemon, "/refusals"), |body| {
+            let refusals: Result<ByCaller, _> = serde_json::from_slice(body);
+            let mut refusals = refusals.unwrap_or_default();
+            refusals.0.retain(|name, _| wanted(name));
+            match json {
+                true => println!("{:#}", json!({"account": account, "refusals": refusals})),
+                false => print!("{}\n{}", table(&account), refusals_table(&refusals)),
+            }
+            0
+        })
     })
 }
 
+/// Refusals as a table, most refusals for overload first.
+pub fn refusals_table(refusals: &ByCaller) -> String {
+    let mut rows: Vec<_> = refusals.0.iter().collect();
+    rows.sort_by_key(|(_, refused)| cmp::Reverse(refused.over_share));
+    let mut table = String::from(
+        "refused since the daemons' start     over-share     budget unavailable      other\n",
+    );
+    for (caller, refused) in rows {
+        table.push_str(&format!(
+            "{caller:<36} {:>10} {:>10} {:>11} {:>10}\n",
+            refused.over_share, refused.budget, refused.unavailable, refused.other
+        ));
+    }
+    table
+}
+
 /// The account as a table.
 pub fn table(account: &Account) -> String {
     let mut table = String::new();
--- a/kingcupspan/src/controller/mod.rs
+++ b/kingcupspan/src/controller/mod.rs
@@ -11,4 +11,5 @@
 pub mod membership;
 pub mod pacer;
 pub mod quarantine;
+pub mod refusals;
 pub mod slots;
--- a/kingcupspan/src/daemon.rs
+++ b/kingcupspan/src/daemon.rs
@@ -10,7 +10,7 @@
     clock::Clock,
     controller::{
         cache, configuration, drain, endpoints, expiry, grants, leases, log_health, membership,
-        pacer, quarantine, slots,
+        pacer, quarantine, refusals, slots,
     },
     edge::{client, platform, server},
     filter, metrics, operators, peers,
@@ -60,6 +60,9 @@
     /// Requests that crash endpoints.
     pub quarantine: quarantine::State,
 
+    /// Refusals by caller.
+    pub refusals: refusals::State,
+
     /// Engine memory to be let go.
     pub cache: cache::State,
 
@@ -124,6 +127,7 @@
             endpoints: endpoints::State::default(),
             grants: grants::State::default(),
             quarantine: quarantine::State::default(),
+            refusals: refusals::State::default(),
             cache: cache::State::default(),
             drain: drain::State::default(),
             metrics: metrics::Metrics::new(),
--- a/kingcupspan/src/edge/problem.rs
+++ b/kingcupspan/src/edge/problem.rs
@@ -3,6 +3,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+/// Media type of a problem.
+pub const MEDIA_TYPE: &str = "application/problem+json";
+
 /// Whether the refused request took effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -153,7 +156,7 @@
     pub fn response(&self) -> http_types::Response {
         let mut res = http_types::Response::new(self.status);
         res.set_body(serde_json::to_vec(self).unwrap_or_default());
-        res.set_content_type(http_types::mime::Mime::from("application/problem+json"));
+        res.set_content_type(http_types::mime::Mime::from(MEDIA_TYPE));
         if let Some(seconds) = self.retry_after {
             res.insert_header("Retry-After", seconds.to_string());
         }
--- a/kingcupspan/src/filter/mod.rs
+++ b/kingcupspan/src/filter/mod.rs
@@ -116,6 +116,9 @@
         }
         Err(problem) => {
             cx.daemon.metrics.request(name, &problem.kind.to_string());
+            if let Some(caller) = &cx.caller {
+                cx.daemon.refusals.note(&caller.caller, problem.kind);
+            }
             log_problem(&cx, name, &problem);
             problem.response()
         }
--- a/kingcupspan/src/filter/route.rs
+++ b/kingcupspan/src/filter/route.rs
@@ -11,7 +11,7 @@
         body,
         client::{Outgoing, Patience, Reply, SendError},
         peer::{self, Ask, Call},
-        problem::{Kind, Problem},
+        problem::{self, Kind, Problem},
     },
     filter::{Cx, program},
 };
@@ -35,6 +35,8 @@
 /// What forwarding brought.
 enum Forwarded {
     Answer(Box<Response>),
+    /// The owner refused it.
+    Refused(Problem),
     /// The request was not delivered.
     Undelivered,
     /// It may have been delivered; the owner recognises it when it comes again.
@@ -70,7 +72,8 @@
                 }
             }
             Owner::At(addr) => match forward(daemon, addr, &call).await {
-                Forwarded::Answer(response) if u16::from(response.status()) == 421 => {}
+                Forwarded::Refused(problem) if problem.kind == Kind::Moved => {}
+                Forwarded::Refused(problem) => return Err(problem),
                 Forwarded::Answer(response) => return Ok(*response),
                 Forwarded::Undelivered => {}
                 Forwarded::Lost => delivered = true,
@@ -166,14 +169,7 @@
         .is_some_and(|t| t.starts_with("text/event-stream"));
     if !is_stream {
         return match reply.bytes(peer::MESSAGE_MAX_BYTES).await {
-            Ok(bytes) => {
-                let content_type = response.content_type();
-                response.set_body(Body::from_bytes(bytes));
-                if let Some(content_type) = content_type {
-                    response.set_content_type(content_type);
-                }
-                Forwarded::Answer(Box::new(response))
-            }
+            Ok(bytes) => whole(response, bytes),
             Err(_) => Forwarded::Lost,
         };
     }
@@ -200,3 +196,19 @@
     });
     Forwarded::Answer(Box::new(response))
 }
+
+/// An answer in one piece; a refusal is the entry daemon's to tell and count.
+fn whole(mut response: Response, bytes: Vec<u8>) -> Forwarded {
+    let content_type = response.content_type();
+    let is_problem = content_type
+        .as_ref()
+        .is_some_and(|t| t.essence() == problem::MEDIA_TYPE);
+    if is_problem && let Ok(problem) = serde_json::from_slice(&bytes) {
+        return Forwarded::Refused(problem);
+    }
+    response.set_body(Body::from_bytes(bytes));
+    if let Some(content_type) = content_type {
+        response.set_content_type(content_type);
+    }
+    Forwarded::Answer(Box::new(response))
+}
--- a/kingcupspan/src/operators.rs
+++ b/kingcupspan/src/operators.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::{
+    controller::refusals,
     daemon::Daemon,
     edge::{
         problem::{Kind, Problem},
@@ -41,6 +42,7 @@
     match (method, path.as_str()) {
         (Method::Get, "/metrics") => Response::from(daemon.metrics.text()),
         (Method::Get, "/usage") => program::json(200, &account(&daemon)),
+        (Method::Get, "/refusals") => program::json(200, &refusals::of_fleet(&daemon).await),
         (Method::Post, "/drain") => {
             daemon.drain.start();
             Response::new(202)
--- a/kingcupspan/src/peers.rs
+++ b/kingcupspan/src/peers.rs
@@ -6,7 +6,7 @@
 use http_types::Response;
 
 use crate::{
-    controller::{grants, membership, quarantine},
+    controller::{grants, membership, quarantine, refusals},
     daemon::Daemon,
     edge::{
         peer,
@@ -62,6 +62,7 @@
             Ok(peer::response(&()))
         }
         peer::CONFIGURATION => Ok(peer::response(&*daemon.configuration.get().in_force)),
+        refusals::PATH => Ok(peer::response(&daemon.refusals.get())),
         quarantine::PATH => {
             daemon.quarantine.apply(&peer::decode(bytes)?);
             Ok(peer::response(&()))
--- a/kingcupspan_standin/src/engine.rs
+++ b/kingcupspan_standin/src/engine.rs
@@ -98,7 +98,14 @@
     fences: BTreeMap<ProgramId, u64>,
     done: Done,
     reports: Vec<(Instant, Report)>,
-    events: Vec<Value>,
+    events: Vec<(Instant, Value)>,
+}
+
+impl Inner {
+    /// Notes a cache event.
+    fn note(&mut self, event: Value) {
+        self.events.push((Instant::now(), event));
+    }
 }
 
 #[derive(Debug, Clone, Default, Serialize)]
@@ -244,9 +251,7 @@
                 used: Instant::now(),
             },
         );
-        inner
-            .events
-            .push(json!({"stored": program, "tokens": tokens}));
+        inner.note(json!({"stored": program, "tokens": tokens}));
         self.evict(&mut inner);
     }
 
@@ -262,7 +267,7 @@
             };
             if let Some(prefix) = inner.cache.remove(&oldest) {
                 inner.done.evicted_tokens += prefix.tokens;
-                inner.events.push(json!({"removed": oldest}));
+                inner.note(json!({"removed": oldest}));
             }
         }
     }
@@ -370,20 +375,21 @@
             ("release", Some(program)) => {
                 let mut inner = self.inner.lock();
                 inner.cache.remove(&program);
-                inner.events.push(json!({"removed": program}));
+                inner.note(json!({"removed": program}));
                 http::json(200, &json!({}))
             }
             _ => http::json(400, &json!({"error": "unknown order"})),
         }
     }
 
-    /// Cache events from an offset, with every seventh missing.
+    /// Cache events from an offset, late and with every seventh missing.
     fn cache_events(&self, from: usize) -> Response {
         let inner = self.inner.lock();
         let kept = inner.events.iter().enumerate().skip(from);
-        let events: Vec<Value> = kept
+        let shown = kept.take_while(|(_, (at, _))| at.elapsed() >= self.options.lag);
+        let events: Vec<Value> = shown
             .filter(|(i, _)| i % 7 != 6)
-            .map(|(i, event)| json!({"offset": i, "event": event}))
+            .map(|(i, (_, event))| json!({"offset": i, "event": event}))
             .collect();
         http::json(200, &json!({"events": events}))
     }
