Refuse verdicts on idempotent calls; fix the seeds of random tests

Cause: the random tests drew a new seed in each run, so that their verdict could change. With the seed fixed another way, 10,000 schedules found that a verdict on a former owner's idempotent call did not commute with a late report of it: the owner and the fold disagreed ('one fold').

Ruled out: a fault of the seed's choice alone (the trace was replayed by hand: the report counts on an ended turn and not on one under way). The daemon itself never proposes such a verdict; the core allowed it.

All random tests have fixed seeds.

Conclusion: idempotent calls of a former owner are only ever started again.

--- a/kingcupspan_config/tests/checks.rs
+++ b/kingcupspan_config/tests/checks.rs
@@ -90,6 +90,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None,
+                                        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
                                         ..ProptestConfig::default() })]
 
     /// Whatever is read, the checks end in a value or in findings with places.
--- a/kingcupspan_core/src/slot.rs
+++ b/kingcupspan_core/src/slot.rs
@@ -381,7 +381,7 @@
             return Err(Refusal::Order);
         }
         match &program.current {
-            Some(c) if c.starter.start.epoch != epoch => Ok(c),
+            Some(c) if c.starter.start.epoch != epoch && c.repeat == Repeat::NonIdempotent => Ok(c),
             _ => Err(Refusal::NotStarted),
         }
     }
--- a/kingcupspan_core/tests/fair.rs
+++ b/kingcupspan_core/tests/fair.rs
@@ -118,7 +118,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
 
     /// Never more in flight than the limit, every call is granted once, nothing stays.
     #[test]
--- a/kingcupspan_core/tests/regressions.rs
+++ b/kingcupspan_core/tests/regressions.rs
@@ -297,3 +297,22 @@
         "a late answer never extends the history"
     );
 }
+
+/// An idempotent call of a former owner is started again, never closed by a
+/// verdict: reports of it do not count.
+#[test]
+fn verdict_on_an_idempotent_call_is_refused() {
+    let mut fleet = Fleet::new(2);
+    fleet.start(0, Repeat::Idempotent);
+    fleet.append(0);
+    fleet.read(1);
+    fleet.claim(1);
+    fleet.serve(1);
+    let settle = Record::Settle {
+        program: PROGRAM,
+        turn: Turn(0),
+        outcome: Outcome::Unknown,
+    };
+    assert!(fleet.replicas[1].propose(settle).is_err());
+    assert_eq!(fleet.admit(1), Admission::Ready);
+}
--- a/kingcupspan_core/tests/spec/random.rs
+++ b/kingcupspan_core/tests/spec/random.rs
@@ -1,6 +1,9 @@
 //! Random schedules with bounds far beyond what can be explored exhaustively.
 
-use proptest::prelude::*;
+use proptest::{
+    prelude::*,
+    test_runner::{RngSeed, TestRunner},
+};
 
 use crate::{
     bounds::Bounds,
@@ -15,7 +18,7 @@
 const CASES_DEFAULT: u32 = 200;
 
 /// Seed of all cases, so that every run has the same verdict.
-const SEED: [u8; 32] = [7; 32];
+const SEED: u64 = 7;
 
 fn bounds() -> Bounds {
     let wide = Bounds::outage();
@@ -78,12 +81,11 @@
     let cases = std::env::var(CASES).ok().and_then(|c| c.parse().ok());
     let config = ProptestConfig {
         cases: cases.unwrap_or(CASES_DEFAULT),
+        rng_seed: RngSeed::Fixed(SEED),
         failure_persistence: None,
         ..ProptestConfig::default()
     };
-    let algorithm = proptest::test_runner::RngAlgorithm::ChaCha;
-    let rng = proptest::test_runner::TestRng::from_seed(algorithm, &SEED);
-    let mut runner = proptest::test_runner::TestRunner::new_with_rng(config, rng);
+    let mut runner = TestRunner::new(config);
     let schedules = proptest::collection::vec(any::<u16>(), 10..120);
     let bounds = bounds();
     let result = runner.run(&schedules, |choices| walk(&choices, &bounds));
