Look again at an endpoint that resets the probe

An engine that is going down may still accept the probe's connection and reset it; that was not taken for a crash, and one of the two strikes was missed.

Ruled out: the isolation of suspects (the poison was alone on its second engine; the log shows no strike for one of its crashes).

Change: a probe that fails quickly without being refused is repeated up to six times, 50 ms apart; silence is not a reset and is not waited for again.

Conclusion: a crash is known by the refused connection that follows it.

--- a/kingcupspan/src/filter/send.rs
+++ b/kingcupspan/src/filter/send.rs
@@ -1,6 +1,6 @@
 //! Send: run the call on its endpoint, and again elsewhere where that is allowed.
 
-use std::time::Duration;
+use std::{net, time::Duration};
 
 use async_std::task;
 use http_types::Response;
@@ -18,7 +18,7 @@
     edge::{
         body,
         client::Patience,
-        endpoint::{self, ModelCall, Piece, RunError, ServiceCall, Usage},
+        endpoint::{self, LoadReport, ModelCall, Piece, RunError, ServiceCall, Usage},
         peer::Target,
         problem::{Kind, Problem, Ran},
     },
@@ -34,6 +34,15 @@
 /// Age of a start beyond which a paused daemon no longer sends the call, in leases.
 const START_LEASES_MAX: u64 = 1;
 
+/// Probes of an endpoint that resets its connections.
+const PROBES_MAX: u32 = 6;
+
+/// Pause between these.
+const PROBE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest time in which a reset comes, in milliseconds; later is silence.
+const RESET_MAX_MS: u64 = 500;
+
 /// Text decoded so far, over all attempts.
 #[derive(Default)]
 struct Decoded {
@@ -155,7 +164,7 @@
     tried.push(endpoint.endpoint.clone());
     cx.daemon.client.forget(endpoint.addr);
     // A silent connection says nothing of the endpoint: ask over a new one.
-    let probe = endpoint::load(&cx.daemon.client, endpoint.addr).await;
+    let probe = probe(cx, endpoint.addr).await;
     if probe.is_ok() {
         return;
     }
@@ -168,6 +177,23 @@
     }
 }
 
+/// Asks an endpoint for its load. One that is just going down may still accept
+/// a connection and reset it, so a quick failure is looked at again.
+async fn probe(cx: &TurnCx, addr: net::SocketAddr) -> Result<LoadReport, RunError> {
+    let mut probes = 1;
+    loop {
+        let begun = cx.daemon.clock.mono();
+        let probe = endpoint::load(&cx.daemon.client, addr).await;
+        let was_reset = matches!(probe, Err(RunError::Lost(_)));
+        let quick = cx.daemon.clock.mono().since(begun) < RESET_MAX_MS;
+        if probes >= PROBES_MAX || !was_reset || !quick {
+            return probe;
+        }
+        probes += 1;
+        task::sleep(PROBE_PAUSE).await;
+    }
+}
+
 async fn strike(cx: &TurnCx) {
     cx.daemon.metrics.strikes.inc();
     let record = quarantine::Record::Strike {
