Copy pending records only when they are needed

The task that has copies kept by peers cloned all pending records at each change, also with the log there; the appending task cloned them twice for each append.

Ruled out: sharing the records by reference count (a larger change).

Change: whether there is anything is asked without a copy.

Behaviour is unchanged.

--- a/kingcupspan/src/controller/slots/copies.rs
+++ b/kingcupspan/src/controller/slots/copies.rs
@@ -26,10 +26,11 @@
         let changed = cell.changed.listen();
         let proposed = cell.proposed.listen();
         let away = daemon.log_health.is_away(daemon.clock.mono());
-        match cell
-            .batch()
-            .filter(|b| away && cell.inner.lock().replica.lacks_copies(b))
-        {
+        let batch = match away {
+            true => cell.batch(),
+            false => None,
+        };
+        match batch.filter(|b| cell.inner.lock().replica.lacks_copies(b)) {
             Some(batch) if copy_to_peers(&daemon, cell, &batch).await => {}
             Some(_) => task::sleep(RETRY_PAUSE).await,
             None => changed.race(proposed).await,
--- a/kingcupspan/src/controller/slots/mod.rs
+++ b/kingcupspan/src/controller/slots/mod.rs
@@ -236,6 +236,12 @@
         self.inner.lock().read_at
     }
 
+    /// Whether there is something to append.
+    fn has_pending(&self) -> bool {
+        let inner = self.inner.lock();
+        inner.replica.owner().is_some_and(|o| o.pending().len() > 0)
+    }
+
     fn batch(&self) -> Option<Batch> {
         self.inner.lock().replica.batch(BATCH_MAX)
     }
--- a/kingcupspan/src/controller/slots/stream.rs
+++ b/kingcupspan/src/controller/slots/stream.rs
@@ -85,13 +85,15 @@
     let stream = cell.stream();
     loop {
         let proposed = cell.proposed.listen();
-        let Some(batch) = cell.batch() else {
+        if !cell.has_pending() {
             proposed.await;
             continue;
-        };
+        }
         daemon.pacer.acquire().await;
-        // More may have been proposed while the append had to wait.
-        let batch = cell.batch().unwrap_or(batch);
+        // Taken only now: more may have been proposed, or the slot lost.
+        let Some(batch) = cell.batch() else {
+            continue;
+        };
         append_once(&daemon, cell, &stream, &batch).await;
     }
 }
--- a/kingcupspan_config/src/node.rs
+++ b/kingcupspan_config/src/node.rs
@@ -112,16 +112,6 @@
         }
     }
 
-    /// A required whole number within `range`.
-    pub fn required_number(&self, field: &'static str, range: ops::RangeInclusive<u64>) -> u64 {
-        let low = *range.start();
-        if !self.has(field) {
-            self.report_at(field, "is required");
-            return low;
-        }
-        self.number(field, low, range)
-    }
-
     /// A truth value, or `default` where it is absent.
     pub fn flag(&self, field: &'static str, default: bool) -> bool {
         match self.get(field) {
