Serve the users' platform end to end: a thin gateway and its adapter

Nothing of the present daemon speaks its protocols. Change: a crate platform/ that translates names, formats and calls; decisions on routes, endpoints, placement, budgets and histories in kingcupspan_core::gateway; a gateway command with its own framing at the edges (async-h1 alters targets and takes cut answers for whole ones), async-h1 towards the store and operators. Kept turns and takings of token budgets are records of 64 topics of keyed records, chosen by program, so that a daemon reads only what it needs. Not covered yet: crashing requests, outages of the store, waiting; tests follow.

--- a/kingcupspan/src/cli.rs
+++ b/kingcupspan/src/cli.rs
@@ -17,6 +17,14 @@
         settings: path::PathBuf,
     },
 
+    /// Runs one process on an entry VM of the users' platform.
+    #[bpaf(command)]
+    Gateway {
+        /// File with the settings; the platform names it by a variable.
+        #[bpaf(argument("FILE"))]
+        settings: Option<path::PathBuf>,
+    },
+
     /// Checks files with settings or configuration and prints every finding.
     #[bpaf(command)]
     Check {
--- a/kingcupspan/src/command/daemon.rs
+++ b/kingcupspan/src/command/daemon.rs
@@ -19,7 +19,7 @@
         Ok(settings) => settings,
         Err(e) => return check::report(file, &e),
     };
-    if let Err(e) = logging::start(&settings.log_level) {
+    if let Err(e) = logging::start(&settings.log_level, logging::Target::Stderr) {
         eprintln!("cannot log: {e}");
         return EXIT_FAILED;
     }
--- /dev/null
+++ b/kingcupspan/src/command/gateway.rs
@@ -0,0 +1,62 @@
+//! `gateway`: one process on an entry VM of the users' platform.
+
+use std::path;
+
+use async_std::task;
+use futures_lite::StreamExt;
+use kingcupspan_platform::settings;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook_async_std::Signals;
+
+use crate::{
+    command::EXIT_FAILED,
+    gateway::run::{self, Listeners},
+    logging,
+};
+
+/// Log level of the process.
+const LOG_LEVEL: &str = "info";
+
+/// Runs a daemon until its planned stop has ended.
+pub fn run(file: Option<path::PathBuf>) -> u8 {
+    if let Err(e) = logging::start(LOG_LEVEL, logging::Target::Stdout) {
+        eprintln!("cannot log: {e}");
+        return EXIT_FAILED;
+    }
+    let settings = match settings::read(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            log::error!(error = e.to_string().as_str(); "cannot start");
+            return EXIT_FAILED;
+        }
+    };
+    task::block_on(async {
+        let listeners = match Listeners::bind(&settings).await {
+            Ok(listeners) => listeners,
+            Err(e) => {
+                log::error!(error = e.to_string().as_str(); "cannot listen");
+                return EXIT_FAILED;
+            }
+        };
+        let (tx, rx) = async_channel::bounded(1);
+        let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+            Ok(signals) => signals,
+            Err(e) => {
+                log::error!(error = e.to_string().as_str(); "cannot handle signals");
+                return EXIT_FAILED;
+            }
+        };
+        task::spawn(async move {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    SIGHUP => log::info!("settings may have changed"),
+                    // A second signal finds the stop begun.
+                    _ => drop(tx.try_send(())),
+                }
+            }
+        });
+        let service = run::assemble(&settings, rand::random());
+        run::run(service, listeners, rx, settings.grace).await;
+        0
+    })
+}
--- a/kingcupspan/src/command/mod.rs
+++ b/kingcupspan/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod ask;
 pub mod check;
 pub mod daemon;
+pub mod gateway;
 pub mod publish;
 
 use std::process;
@@ -19,6 +20,7 @@
 pub fn run(options: Options) -> process::ExitCode {
     let code = match options {
         Options::Daemon { settings } => daemon::run(&settings),
+        Options::Gateway { settings } => gateway::run(settings),
         Options::Check { files } => check::run(&files),
         Options::Publish {
             settings,
--- /dev/null
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -0,0 +1,147 @@
+//! Follows the list of endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use kingcupspan_core::gateway::{
+    endpoint::{Directory, Endpoint, InstanceId},
+    routing::ServiceName,
+};
+use kingcupspan_platform::{
+    listing,
+    store::{ENDPOINTS, Record},
+};
+use parking_lot::Mutex;
+
+use crate::{
+    clock::Clock,
+    gateway::store::{Read, Store, StoreFailure},
+};
+
+/// Pause between reads of the list.
+const POLL_PAUSE: Duration = Duration::from_millis(400);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// All listed endpoints.
+pub struct Endpoints {
+    directory: Mutex<Directory>,
+    clock: Clock,
+}
+
+impl Endpoints {
+    /// An empty list.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            directory: Mutex::default(),
+            clock,
+        }
+    }
+
+    /// Endpoints of a service that take new requests.
+    pub fn ready(&self, service: &ServiceName) -> Vec<Arc<Endpoint>> {
+        self.directory.lock().ready(service, self.clock.mono())
+    }
+
+    /// Whether an endpoint takes new requests.
+    pub fn is_ready(&self, id: &InstanceId) -> bool {
+        self.directory.lock().is_ready(id, self.clock.mono())
+    }
+
+    /// All entries, for the state dump.
+    pub fn all(&self) -> Vec<Arc<Endpoint>> {
+        self.directory.lock().all()
+    }
+
+    /// Whether nothing is listed yet.
+    pub fn is_empty(&self) -> bool {
+        self.directory.lock().all().is_empty()
+    }
+
+    fn apply(&self, record: &Record) {
+        let now = self.clock.mono();
+        let id = InstanceId::from(record.key.as_str());
+        match read_entry(record) {
+            Some(endpoint) => self.directory.lock().insert(endpoint),
+            None => self.directory.lock().remove(&id, now),
+        }
+    }
+
+    fn replace(&self, records: &[Record]) {
+        let listed = records.iter().filter_map(read_entry).collect();
+        self.directory.lock().replace(listed, self.clock.mono());
+    }
+
+    fn store_returned(&self) {
+        self.directory.lock().store_returned(self.clock.mono());
+    }
+}
+
+/// The endpoint that a record names, none if it was taken out or cannot be read.
+fn read_entry(record: &Record) -> Option<Endpoint> {
+    let value = record.value.as_deref()?;
+    match listing::decode(&record.key, value) {
+        Ok(endpoint) => Some(endpoint),
+        Err(e) => {
+            log::warn!(endpoint = record.key.as_str(), error = e.to_string().as_str(); "entry skipped");
+            None
+        }
+    }
+}
+
+/// Follows the list until the process ends.
+pub async fn follow(store: Arc<Store>, endpoints: Arc<Endpoints>) {
+    let mut end = None;
+    let mut is_away = false;
+    loop {
+        match advance(&store, &endpoints, end, is_away).await {
+            Ok(next) => {
+                if is_away {
+                    log::info!("list of endpoints regained");
+                }
+                is_away = false;
+                end = next;
+                task::sleep(POLL_PAUSE).await;
+            }
+            Err(e) => {
+                if !is_away {
+                    log::warn!(error = e.to_string().as_str(); "list of endpoints lost");
+                }
+                is_away = true;
+                task::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn advance(
+    store: &Store,
+    endpoints: &Endpoints,
+    end: Option<u64>,
+    was_away: bool,
+) -> Result<Option<u64>, StoreFailure> {
+    let Some(offset) = end else {
+        let newest = store.newest(ENDPOINTS).await?;
+        if was_away {
+            endpoints.store_returned();
+        }
+        endpoints.replace(&newest.records);
+        return Ok(Some(newest.end));
+    };
+    let read = store.read(ENDPOINTS, offset, Duration::ZERO).await?;
+    if was_away {
+        endpoints.store_returned();
+    }
+    match read {
+        Read::Trimmed => {
+            let newest = store.newest(ENDPOINTS).await?;
+            endpoints.replace(&newest.records);
+            Ok(Some(newest.end))
+        }
+        Read::Batch(batch) => {
+            batch.records.iter().for_each(|r| endpoints.apply(r));
+            Ok(Some(offset + batch.records.len() as u64))
+        }
+    }
+}
--- /dev/null
+++ b/kingcupspan/src/gateway/mod.rs
@@ -0,0 +1,16 @@
+//! The daemon on the users' platform: takes requests of callers, keeps what
+//! must last in the platform's store, and forwards to endpoints.
+
+pub mod answer;
+pub mod configuration;
+pub mod endpoints;
+pub mod exchange;
+pub mod ingress;
+pub mod ledger;
+pub mod partitions;
+pub mod relay;
+pub mod run;
+pub mod serve;
+pub mod stop;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -0,0 +1,222 @@
+//! What the system keeps in the store: turns and takings of token budgets.
+//!
+//! All records of a program lie in one partition, chosen by its id. A daemon
+//! reads a partition on from where it stopped, and only when it needs to.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_std::sync::{Mutex as AsyncMutex, MutexGuardArc};
+use kingcupspan_core::{
+    digest::Digest,
+    gateway::{
+        allowance::{TakingId, Takings},
+        call::{ProgramKey, RequestId},
+        history::{Cache, Turn},
+    },
+};
+use kingcupspan_platform::store::{self, Appended, Partition, Record};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::store::{Read, Store, StoreFailure};
+
+/// Topics over which programs are spread; with the partitions of each this
+/// keeps what must be read for one program small.
+const TOPICS: usize = 64;
+
+/// A record of a program.
+#[derive(Debug, Serialize, Deserialize)]
+enum Stored {
+    /// A turn that was answered whole.
+    Turn(RequestId, Turn),
+
+    /// Tokens taken out of a program's budget.
+    Taking(ProgramKey, TakingId, u64),
+}
+
+/// Where a program's records lie.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Place {
+    topic: usize,
+    part: u32,
+}
+
+/// Offset up to which a partition was read; none before the first read.
+type Position = Arc<AsyncMutex<Option<u64>>>;
+
+/// The system's partitions and what was read of them.
+pub struct Partitions {
+    store: Arc<Store>,
+    topics: Vec<String>,
+    parts: u32,
+    positions: Mutex<HashMap<Place, Position>>,
+    turns: Mutex<Cache>,
+    takings: Mutex<Takings>,
+}
+
+impl Partitions {
+    /// Nothing read yet; `parts` partitions in each topic, `cache_bytes` of
+    /// turns in memory.
+    pub fn new(store: Arc<Store>, parts: u32, cache_bytes: usize) -> Self {
+        let name = |i| store::own_topic(&format!("programs-{i}"));
+        Self {
+            store,
+            topics: (0..TOPICS).map(name).collect(),
+            parts,
+            positions: Mutex::default(),
+            turns: Mutex::new(Cache::new(cache_bytes)),
+            takings: Mutex::default(),
+        }
+    }
+
+    /// Where a program's records lie.
+    pub fn place(&self, program: &ProgramKey) -> Place {
+        let hash = Digest::of(program.0.as_bytes()).short();
+        Place {
+            topic: (hash % TOPICS as u64) as usize,
+            part: (hash / TOPICS as u64 % u64::from(self.parts)) as u32,
+        }
+    }
+
+    fn partition(&self, place: Place) -> Partition<'_> {
+        Partition::own(&self.topics[place.topic], place.part)
+    }
+
+    /// The chain of turns that ends with `last`, or the turn that is missing.
+    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, RequestId> {
+        self.turns.lock().chain(last)
+    }
+
+    /// Tokens taken out of a program's budget, as far as was read.
+    pub fn total_taken(&self, program: &ProgramKey) -> u64 {
+        self.takings.lock().total(program)
+    }
+
+    /// Number of turns in memory.
+    pub fn turns_in_memory(&self) -> usize {
+        self.turns.lock().len()
+    }
+
+    /// Keeps a turn; it can be read everywhere once this returns.
+    pub async fn keep_turn(&self, id: &RequestId, turn: Arc<Turn>) -> Result<(), StoreFailure> {
+        let record = Record {
+            key: key(&format!("turn/{id}")),
+            value: Some(encode(&Stored::Turn(id.clone(), (*turn).clone()))),
+        };
+        let place = self.place(&turn.program);
+        let appended = self.store.append(self.partition(place), &[record]).await?;
+        self.turns.lock().insert(id.clone(), turn);
+        self.skip_own(place, appended);
+        Ok(())
+    }
+
+    /// Records that tokens were taken and reads everything before the record.
+    pub async fn take(
+        &self,
+        program: &ProgramKey,
+        id: &TakingId,
+        tokens: u64,
+    ) -> Result<(), StoreFailure> {
+        let taking = Stored::Taking(program.clone(), id.clone(), tokens);
+        let record = Record {
+            key: key(&format!("taking/{program}/{}/{}", id.taker, id.number)),
+            value: Some(encode(&taking)),
+        };
+        let place = self.place(program);
+        let appended = self.store.append(self.partition(place), &[record]).await?;
+        self.apply(taking);
+        self.read_to(place, appended).await
+    }
+
+    /// Moves the position past a record of our own if nothing lies between.
+    fn skip_own(&self, place: Place, appended: Appended) {
+        if let Some(mut position) = self.position(place).try_lock_arc()
+            && *position == Some(appended.offset)
+        {
+            *position = Some(appended.offset + 1);
+        }
+    }
+
+    async fn read_to(&self, place: Place, own: Appended) -> Result<(), StoreFailure> {
+        let mut position = self.position(place).lock_arc().await;
+        match *position {
+            Some(at) if at > own.offset => Ok(()),
+            Some(at) if at == own.offset => {
+                *position = Some(at + 1);
+                Ok(())
+            }
+            None if own.offset == 0 => {
+                *position = Some(1);
+                Ok(())
+            }
+            _ => self.read_on(place, &mut position).await,
+        }
+    }
+
+    /// Reads everything that the partition of a program holds by now.
+    pub async fn refresh(&self, place: Place) -> Result<(), StoreFailure> {
+        let mut position = self.position(place).lock_arc().await;
+        self.read_on(place, &mut position).await
+    }
+
+    /// Reads a partition anew, for turns that are no longer in memory.
+    pub async fn reload(&self, place: Place) -> Result<(), StoreFailure> {
+        let mut position = self.position(place).lock_arc().await;
+        *position = None;
+        self.read_on(place, &mut position).await
+    }
+
+    async fn read_on(
+        &self,
+        place: Place,
+        position: &mut MutexGuardArc<Option<u64>>,
+    ) -> Result<(), StoreFailure> {
+        let partition = self.partition(place);
+        if let Some(offset) = **position
+            && let Read::Batch(batch) = self.store.read(partition, offset, Duration::ZERO).await?
+        {
+            batch.records.iter().for_each(|r| self.apply_record(r));
+            **position = Some(offset + batch.records.len() as u64);
+            return Ok(());
+        }
+        let newest = self.store.newest(partition).await?;
+        newest.records.iter().for_each(|r| self.apply_record(r));
+        **position = Some(newest.end);
+        Ok(())
+    }
+
+    fn position(&self, place: Place) -> Position {
+        Arc::clone(self.positions.lock().entry(place).or_default())
+    }
+
+    fn apply_record(&self, record: &Record) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        match rmp_serde::from_slice(value) {
+            Ok(stored) => self.apply(stored),
+            Err(e) => {
+                log::error!(key = record.key.as_str(), error = e.to_string().as_str(); "record skipped");
+            }
+        }
+    }
+
+    fn apply(&self, stored: Stored) {
+        match stored {
+            Stored::Turn(id, turn) => self.turns.lock().insert(id, Arc::new(turn)),
+            Stored::Taking(program, id, tokens) => {
+                self.takings.lock().apply(&program, id, tokens);
+            }
+        }
+    }
+}
+
+/// A key that every path can carry, from a name that callers choose.
+fn key(name: &str) -> String {
+    hex::encode(&Digest::of(name.as_bytes()).0[..16])
+}
+
+/// Records are made of numbers, texts and bytes, which always encode.
+fn encode(stored: &Stored) -> Vec<u8> {
+    rmp_serde::to_vec(stored).expect("records encode")
+}
--- /dev/null
+++ b/kingcupspan/src/gateway/run.rs
@@ -0,0 +1,141 @@
+//! Starts and stops the daemon on the users' platform.
+
+use std::{
+    io,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use async_std::{net::TcpListener, task};
+use http_types::{Method, Response};
+use kingcupspan_platform::settings::Settings;
+use serde_json::json;
+
+use crate::{
+    clock::Clock,
+    edge::server::{self, Exchange},
+    gateway::{
+        configuration::{self, Current},
+        endpoints::{self, Endpoints},
+        ingress,
+        ledger::Ledger,
+        partitions::Partitions,
+        serve::Service,
+        stop::Stop,
+        store::Store,
+    },
+};
+
+/// Share of the VM's memory for turns that are kept in memory.
+const CACHE_SHARE: u64 = 6;
+
+/// Pause between sweeps over idle connections.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+
+/// The sockets of a daemon.
+pub struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    operators: TcpListener,
+}
+
+impl Listeners {
+    /// Opens all sockets.
+    pub async fn bind(settings: &Settings) -> io::Result<Self> {
+        Ok(Self {
+            callers: TcpListener::bind(settings.callers).await?,
+            readiness: TcpListener::bind(settings.readiness).await?,
+            operators: TcpListener::bind(settings.operators).await?,
+        })
+    }
+}
+
+/// Assembles what serves requests.
+pub fn assemble(settings: &Settings, incarnation: u64) -> Arc<Service> {
+    let store = Arc::new(Store::new(settings.store.addr));
+    let configuration = Arc::new(Current::default());
+    let endpoints = Arc::new(Endpoints::new(Clock::default()));
+    let cache_bytes = (settings.memory_bytes / CACHE_SHARE) as usize;
+    let partitions = Partitions::new(Arc::clone(&store), settings.store.partitions, cache_bytes);
+    let partitions = Arc::new(partitions);
+    let taker = format!("{}/{incarnation:016x}", settings.vm);
+    task::spawn(configuration::follow(
+        Arc::clone(&store),
+        Arc::clone(&configuration),
+    ));
+    task::spawn(endpoints::follow(store, Arc::clone(&endpoints)));
+    Arc::new(Service {
+        configuration,
+        endpoints,
+        ledger: Arc::new(Ledger::new(Arc::clone(&partitions), taker)),
+        partitions,
+        upstream: Arc::default(),
+        domain: settings.domain.clone(),
+        stop: Arc::new(Stop::default()),
+        spread: AtomicU64::default(),
+    })
+}
+
+/// Serves until a stop has ended.
+pub async fn run(
+    service: Arc<Service>,
+    listeners: Listeners,
+    stopped: async_channel::Receiver<()>,
+    grace: Duration,
+) {
+    task::spawn(ingress::serve(listeners.callers, Arc::clone(&service)));
+    for listener in [listeners.readiness, listeners.operators] {
+        let service = Arc::clone(&service);
+        task::spawn(server::serve(
+            listener,
+            Arc::default(),
+            move |ex: Exchange| {
+                let service = Arc::clone(&service);
+                async move { handle(&service, &ex) }
+            },
+        ));
+    }
+    task::spawn(sweep(Arc::clone(&service)));
+    log::info!("started");
+    // The sender lives as long as the process handles signals.
+    let _ = stopped.recv().await;
+    log::info!("stopping");
+    service.stop.run(grace).await;
+    log::info!(under_way = service.stop.under_way(); "stopped");
+}
+
+async fn sweep(service: Arc<Service>) {
+    loop {
+        task::sleep(SWEEP_PAUSE).await;
+        service.upstream.sweep();
+    }
+}
+
+/// Whether new connections should come here.
+fn is_ready(service: &Service) -> bool {
+    let knows = service.configuration.get().is_some() && !service.endpoints.is_empty();
+    knows && !service.stop.is_stopping()
+}
+
+fn handle(service: &Service, ex: &Exchange) -> Response {
+    match (ex.req.method(), ex.req.url().path()) {
+        (Method::Get, "/dump") => dump(service),
+        (Method::Get, _) if is_ready(service) => Response::new(200),
+        _ => Response::new(503),
+    }
+}
+
+fn dump(service: &Service) -> Response {
+    let endpoints: Vec<_> = service.endpoints.all();
+    let state = json!({
+        "configuration": service.configuration.get(),
+        "endpoints": endpoints,
+        "turns_in_memory": service.partitions.turns_in_memory(),
+        "requests_under_way": service.stop.under_way(),
+        "stopping": service.stop.is_stopping(),
+    });
+    let mut res = Response::new(200);
+    res.set_content_type(http_types::mime::JSON);
+    res.set_body(state.to_string());
+    res
+}
--- /dev/null
+++ b/kingcupspan/src/gateway/serve.rs
@@ -0,0 +1,388 @@
+//! The filters that a request passes, and its way to an endpoint.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_std::{future, task};
+use futures_lite::FutureExt;
+use kingcupspan_core::{
+    digest::Digest,
+    gateway::{
+        endpoint::{Endpoint, InstanceId},
+        placement,
+        routing::Kind,
+    },
+};
+use kingcupspan_platform::headers;
+
+use crate::{
+    gateway::{
+        answer::{Reason, Refusal},
+        configuration::Current,
+        endpoints::Endpoints,
+        exchange::{Exchange, Progress},
+        ledger::{Ledger, LedgerError},
+        partitions::Partitions,
+        relay,
+        stop::Stop,
+        upstream::{Lease, Outgoing, Reply, SendError, Upstream},
+    },
+    http::{
+        conn::{self, Conn},
+        head::RequestHead,
+    },
+};
+
+/// Endpoints that are asked for one request while each says that it did not run it.
+const ASKED_MAX: usize = 3;
+
+/// When a caller should come back after every endpoint was full.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// When a caller should come back while the store is away.
+const STORE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Pause between attempts at the store while a request waits for it.
+const STORE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Tokens that a turn may generate if its caller does not say.
+const OUTPUT_TOKENS_DEFAULT: u64 = 1_024;
+
+/// Everything that serves requests.
+pub struct Service {
+    /// The configuration in force.
+    pub configuration: Arc<Current>,
+
+    /// The endpoints.
+    pub endpoints: Arc<Endpoints>,
+
+    /// What is kept in the store.
+    pub partitions: Arc<Partitions>,
+
+    /// Budgets of programs.
+    pub ledger: Arc<Ledger>,
+
+    /// Connections to endpoints.
+    pub upstream: Arc<Upstream>,
+
+    /// The failure domain of this VM.
+    pub domain: String,
+
+    /// A planned stop.
+    pub stop: Arc<Stop>,
+
+    /// Counts requests, to spread ties.
+    pub spread: AtomicU64,
+}
+
+/// How a request ended, for its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Answered whole.
+    Answered(u16),
+
+    /// This daemon answers it itself.
+    Refused(Refusal),
+
+    /// The answer was cut: the connection must be closed.
+    Cut(Reason),
+
+    /// The caller has gone.
+    Gone,
+}
+
+/// Why the work on a request ended without a whole answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// Nothing was sent to the caller yet.
+    Refused(Refusal),
+
+    /// Part of an answer was sent.
+    Cut(Reason),
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<Reason> for Failure {
+    fn from(reason: Reason) -> Self {
+        Self::Refused(reason.into())
+    }
+}
+
+impl Service {
+    /// Finds the route of a request that was read whole.
+    pub fn admit(
+        &self,
+        head: RequestHead,
+        body: Vec<u8>,
+        arrived: Instant,
+    ) -> Result<Exchange, Refusal> {
+        let Some(configuration) = self.configuration.get() else {
+            return Err(Reason::NoConfiguration.into());
+        };
+        let (host, path) = head.host_and_path().ok_or(Reason::Malformed)?;
+        let route = configuration.route(host, path).ok_or(Reason::NoRoute)?;
+        let route = Arc::clone(route);
+        let info = headers::call_info(&head.headers);
+        let id = info.id.clone().ok_or(Reason::Malformed)?;
+        let hash = Digest::of(info.placement_key().unwrap_or(&id.0).as_bytes()).short();
+        let service = route.service_for(hash).ok_or(Reason::NoEndpoint)?.clone();
+        let wait = info
+            .deadline
+            .map_or(route.timeout, |d| d.min(route.timeout));
+        Ok(Exchange {
+            deadline: arrived + wait,
+            head,
+            body,
+            info,
+            id,
+            arrived,
+            configuration,
+            route,
+            service,
+            history: Vec::new(),
+            reservation: None,
+            progress: Progress::Waiting,
+            endpoint: None,
+            stop: Arc::clone(&self.stop),
+        })
+    }
+
+    /// Serves a request until its answer has gone out, its deadline has come or
+    /// its caller has left.
+    pub async fn serve(&self, ex: &mut Exchange, caller: &mut Conn) -> Ended {
+        let stream = caller.stream().clone();
+        let left = ex.left();
+        // An action that was begun is worth finishing even if nobody waits.
+        let watches = ex.route.kind != Kind::Unsafe;
+        let gone = async {
+            match watches {
+                true => conn::closed(&stream).await,
+                false => futures_lite::future::pending().await,
+            }
+            None
+        };
+        let work = async { Some(self.work(ex, caller).await) };
+        match future::timeout(left, work.or(gone)).await {
+            Ok(Some(Ok(status))) => Ended::Answered(status),
+            Ok(Some(Err(Failure::Refused(refusal)))) => Ended::Refused(refusal),
+            Ok(Some(Err(Failure::Cut(reason)))) => Ended::Cut(reason),
+            Ok(None) => Ended::Gone,
+            Err(_) => match ex.progress {
+                Progress::Waiting => Ended::Refused(Reason::TimeoutUnsent.into()),
+                Progress::Sent => Ended::Refused(Reason::Timeout.into()),
+                Progress::Answering => Ended::Cut(Reason::Timeout),
+            },
+        }
+    }
+
+    async fn work(&self, ex: &mut Exchange, caller: &mut Conn) -> Result<u16, Failure> {
+        self.recall(ex).await?;
+        self.reserve(ex).await?;
+        let mut runs = 0;
+        loop {
+            let (reply, lease) = self.send(ex, &mut runs).await?;
+            let relayed = match ex.route.kind {
+                Kind::Streaming => relay::stream(ex, caller, reply).await,
+                Kind::Safe | Kind::Unsafe => relay::whole(ex, caller, reply).await,
+            };
+            drop(lease);
+            match relayed {
+                Ok(end) => return self.end(ex, caller, end).await,
+                Err(relay::Failure::Lost) if ex.can_repeat(runs) => {}
+                Err(relay::Failure::Lost) => return Err(Reason::Lost.into()),
+                Err(relay::Failure::Cut) => return Err(Failure::Cut(Reason::Lost)),
+            }
+        }
+    }
+
+    /// Finds the turns before this one.
+    async fn recall(&self, ex: &mut Exchange) -> Result<(), Refusal> {
+        if !ex.is_kept_turn() {
+            return Ok(());
+        }
+        let Some(program) = &ex.info.program else {
+            return Ok(());
+        };
+        let Some(previous) = &program.previous else {
+            return Ok(());
+        };
+        let mut missing = match self.partitions.chain(previous) {
+            Ok(chain) => {
+                ex.history = chain;
+                return Ok(());
+            }
+            Err(missing) => missing,
+        };
+        let place = self.partitions.place(&program.program);
+        for is_whole in [false, true] {
+            let read = match is_whole {
+                false => self.partitions.refresh(place).await,
+                true => self.partitions.reload(place).await,
+            };
+            if let Err(e) = read {
+                let id = &*ex.id.0;
+                log::warn!(request = id, error = e.to_string().as_str(); "history cannot be read");
+                return Err(store_away());
+            }
+            match self.partitions.chain(previous) {
+                Ok(chain) => {
+                    ex.history = chain;
+                    return Ok(());
+                }
+                Err(m) => missing = m,
+            }
+        }
+        log::warn!(request = &*ex.id.0, missing = &*missing.0; "no such turn");
+        Err(Reason::NoTurn.into())
+    }
+
+    /// Reserves the tokens that a turn may generate.
+    async fn reserve(&self, ex: &mut Exchange) -> Result<(), Refusal> {
+        let Some(program) = ex.info.program.as_ref().filter(|_| ex.route.has_turns()) else {
+            return Ok(());
+        };
+        let Some(budget) = program.budget else {
+            return Ok(());
+        };
+        let most = ex
+            .info
+            .usage
+            .map_or(OUTPUT_TOKENS_DEFAULT, |u| u.max_output);
+        loop {
+            match self.ledger.reserve(&program.program, budget, most).await {
+                Ok(reservation) => {
+                    ex.reservation = Some(reservation);
+                    return Ok(());
+                }
+                Err(LedgerError::Spent { taken, budget }) => {
+                    log::info!(request = &*ex.id.0, taken, budget, most; "budget spent");
+                    return Err(Reason::BudgetSpent.into());
+                }
+                Err(LedgerError::Unknown(e)) => {
+                    log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "budget unknown");
+                    if ex.left() < STORE_RETRY_AFTER {
+                        return Err(store_away());
+                    }
+                    task::sleep(STORE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Sends a request until an endpoint answers.
+    async fn send(&self, ex: &mut Exchange, runs: &mut u32) -> Result<(Reply, Lease), Failure> {
+        let body = ex.prompt();
+        let mut tried: Vec<InstanceId> = Vec::new();
+        loop {
+            let endpoint = self.place(ex, &tried).ok_or(Reason::NoEndpoint)?;
+            let lease = self.upstream.lease(&endpoint.id);
+            let out = Outgoing {
+                method: &ex.head.method,
+                target: &ex.head.target,
+                headers: &ex.head.headers,
+                id: &ex.id,
+                body: &body,
+                deadline: ex.deadline,
+            };
+            ex.endpoint = Some(endpoint.id.clone());
+            ex.progress = Progress::Sent;
+            let sent = self.upstream.send(&endpoint, &out).await;
+            tried.push(endpoint.id.clone());
+            match sent {
+                Ok(reply) if reply.info.not_executed => {
+                    log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = reply.head.status; "endpoint refused");
+                    relay::discard(reply).await;
+                }
+                Ok(reply) if !reply.is_credible() => {
+                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0; "unsigned answer");
+                    *runs += 1;
+                    if !ex.can_repeat(*runs) {
+                        return Err(Reason::Lost.into());
+                    }
+                }
+                Ok(reply) => {
+                    *runs += 1;
+                    return Ok((reply, lease));
+                }
+                Err(SendError::NotSent(why)) => {
+                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = why.as_str(); "endpoint not reached");
+                }
+                Err(SendError::Lost(why)) => {
+                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = why.as_str(); "answer lost");
+                    *runs += 1;
+                    if !ex.can_repeat(*runs) {
+                        return Err(Reason::Lost.into());
+                    }
+                }
+            }
+            if *runs == 0 {
+                ex.progress = Progress::Waiting;
+            }
+            if tried.len() >= ASKED_MAX {
+                return Err(match *runs {
+                    0 => Refusal {
+                        reason: Reason::Full,
+                        retry_after: Some(FULL_RETRY_AFTER),
+                    }
+                    .into(),
+                    _ => Reason::Lost.into(),
+                });
+            }
+        }
+    }
+
+    fn place(&self, ex: &Exchange, tried: &[InstanceId]) -> Option<Arc<Endpoint>> {
+        let ready = self.endpoints.ready(&ex.service);
+        let candidates = self.upstream.candidates(ready);
+        let engine = ex
+            .configuration
+            .services
+            .get(&ex.service)
+            .and_then(|s| s.engine);
+        let chosen = match (engine, ex.info.placement_key()) {
+            (Some(_), Some(key)) => placement::engine(&candidates, key, tried),
+            _ => {
+                let spread = self.spread.fetch_add(1, Ordering::Relaxed);
+                placement::plain(&candidates, &self.domain, spread, tried)
+            }
+        };
+        chosen.map(|i| Arc::clone(&candidates[i].endpoint))
+    }
+
+    /// Keeps a turn, then ends its answer.
+    async fn end(
+        &self,
+        ex: &mut Exchange,
+        caller: &mut Conn,
+        end: relay::End,
+    ) -> Result<u16, Failure> {
+        if let Some(turn) = end.turn {
+            let turn = Arc::new(turn);
+            while let Err(e) = self.partitions.keep_turn(&ex.id, Arc::clone(&turn)).await {
+                log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "turn not kept yet");
+                task::sleep(STORE_PAUSE).await;
+            }
+        }
+        match caller.write(&end.last_bytes).await {
+            Ok(()) => Ok(end.status),
+            Err(_) => Err(Failure::Cut(Reason::Lost)),
+        }
+    }
+}
+
+fn store_away() -> Refusal {
+    Refusal {
+        reason: Reason::StoreAway,
+        retry_after: Some(STORE_RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/kingcupspan/src/gateway/upstream.rs
@@ -0,0 +1,310 @@
+//! Connections to endpoints.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use async_std::{future, net::TcpStream};
+use kingcupspan_core::gateway::{
+    call::RequestId,
+    endpoint::{Endpoint, InstanceId},
+    placement::{Candidate, Load},
+};
+use kingcupspan_platform::headers::{self, AnswerInfo, Lookup};
+use parking_lot::Mutex;
+
+use crate::http::{
+    conn::{Conn, ReadError},
+    framing::Framing,
+    head::{AnswerHead, Headers},
+};
+
+/// How long a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long a kept connection is used if the endpoint does not say.
+const KEEP_DEFAULT: Duration = Duration::from_secs(4);
+
+/// How much earlier than the endpoint a kept connection is given up.
+const KEEP_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long an endpoint's word on its load counts.
+const LOAD_TOLD_FOR: Duration = Duration::from_millis(600);
+
+/// How long an endpoint is avoided after a failed connection.
+const FAILING_FOR: Duration = Duration::from_millis(1_000);
+
+/// Largest body of a late answer to another request that is passed over, in bytes.
+const FOREIGN_MAX_BYTES: usize = 1024 * 1024;
+
+/// Why no answer came.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// The request was not sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+
+    /// The request may have run.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// A request for an endpoint.
+pub struct Outgoing<'a> {
+    /// The method.
+    pub method: &'a str,
+
+    /// The target as the caller sent it.
+    pub target: &'a str,
+
+    /// The caller's headers.
+    pub headers: &'a Headers,
+
+    /// The attempt.
+    pub id: &'a RequestId,
+
+    /// The body.
+    pub body: &'a [u8],
+
+    /// When the caller no longer waits.
+    pub deadline: Instant,
+}
+
+struct Idle {
+    conn: Conn,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct Site {
+    idle: Vec<Idle>,
+    own: u32,
+    told: Option<(u32, Instant)>,
+    failing_until: Option<Instant>,
+}
+
+/// Connections and load of all endpoints.
+#[derive(Default)]
+pub struct Upstream {
+    sites: Mutex<HashMap<InstanceId, Site>>,
+}
+
+/// A place at an endpoint, given back when it is dropped.
+pub struct Lease {
+    upstream: Arc<Upstream>,
+    id: InstanceId,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(site) = self.upstream.sites.lock().get_mut(&self.id) {
+            site.own -= 1;
+        }
+    }
+}
+
+/// An answer whose body has not been read.
+pub struct Reply {
+    /// Its head.
+    pub head: AnswerHead,
+
+    /// What the endpoint says in it.
+    pub info: AnswerInfo,
+
+    conn: Conn,
+    upstream: Arc<Upstream>,
+    endpoint: InstanceId,
+}
+
+impl Upstream {
+    /// Endpoints with what is known of their load.
+    pub fn candidates(&self, endpoints: Vec<Arc<Endpoint>>) -> Vec<Candidate> {
+        let now = Instant::now();
+        let sites = self.sites.lock();
+        let load = |id: &InstanceId| sites.get(id).map_or_else(Load::default, |s| s.load(now));
+        endpoints
+            .into_iter()
+            .map(|endpoint| Candidate {
+                load: load(&endpoint.id),
+                endpoint,
+            })
+            .collect()
+    }
+
+    /// Counts a request at an endpoint.
+    pub fn lease(self: &Arc<Self>, id: &InstanceId) -> Lease {
+        self.sites.lock().entry(id.clone()).or_default().own += 1;
+        Lease {
+            upstream: Arc::clone(self),
+            id: id.clone(),
+        }
+    }
+
+    /// Drops connections that were idle for too long, and endpoints without any.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        self.sites.lock().retain(|_, site| {
+            site.idle.retain(|i| i.until > now);
+            site.own > 0 || !site.idle.is_empty()
+        });
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        self: &Arc<Self>,
+        endpoint: &Endpoint,
+        out: &Outgoing<'_>,
+    ) -> Result<Reply, SendError> {
+        let mut conn = match self.kept(&endpoint.id).await {
+            Some(conn) => conn,
+            None => self.connect(endpoint).await?,
+        };
+        let left = out.deadline.saturating_duration_since(Instant::now());
+        let request = encode(endpoint, out, left);
+        if let Err(e) = conn.write(&request).await {
+            return Err(SendError::Lost(e.to_string()));
+        }
+        let head = answer_head(&mut conn, out)
+            .await
+            .map_err(|e| SendError::Lost(e.to_string()))?;
+        let info = headers::answer_info(&head.headers, head.status);
+        self.note(&endpoint.id, &info);
+        Ok(Reply {
+            head,
+            info,
+            conn,
+            upstream: Arc::clone(self),
+            endpoint: endpoint.id.clone(),
+        })
+    }
+
+    async fn kept(&self, id: &InstanceId) -> Option<Conn> {
+        loop {
+            let idle = self.sites.lock().get_mut(id)?.idle.pop()?;
+            if idle.until > Instant::now() && idle.conn.is_quiet().await {
+                return Some(idle.conn);
+            }
+        }
+    }
+
+    async fn connect(&self, endpoint: &Endpoint) -> Result<Conn, SendError> {
+        let connecting = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr));
+        let failure = match connecting.await {
+            Ok(Ok(stream)) => return Ok(Conn::new(stream)),
+            Ok(Err(e)) => e,
+            Err(_) => io::ErrorKind::TimedOut.into(),
+        };
+        let mut sites = self.sites.lock();
+        let site = sites.entry(endpoint.id.clone()).or_default();
+        site.failing_until = Some(Instant::now() + FAILING_FOR);
+        Err(SendError::NotSent(failure.to_string()))
+    }
+
+    fn note(&self, id: &InstanceId, info: &AnswerInfo) {
+        let mut sites = self.sites.lock();
+        let Some(site) = sites.get_mut(id) else {
+            return;
+        };
+        site.failing_until = None;
+        if let Some(load) = info.load {
+            site.told = Some((load, Instant::now()));
+        }
+    }
+
+    fn keep(&self, id: &InstanceId, conn: Conn, headers: &Headers) {
+        let told = headers.get("keep-alive").and_then(keep_alive_timeout);
+        let keep = told.map_or(KEEP_DEFAULT, |t| t.saturating_sub(KEEP_MARGIN));
+        let idle = Idle {
+            conn,
+            until: Instant::now() + keep,
+        };
+        if let Some(site) = self.sites.lock().get_mut(id) {
+            site.idle.push(idle);
+        }
+    }
+}
+
+impl Site {
+    fn load(&self, now: Instant) -> Load {
+        let is_fresh = |at: &Instant| now.duration_since(*at) < LOAD_TOLD_FOR;
+        let told = self.told.filter(|(_, at)| is_fresh(at));
+        Load {
+            own: self.own,
+            told: told.map(|(load, _)| load),
+            failing: self.failing_until.is_some_and(|until| now < until),
+        }
+    }
+}
+
+impl Reply {
+    /// Whether it is an answer of the endpoint: a success without a signature is not.
+    pub fn is_credible(&self) -> bool {
+        self.info.signed || !(200..300).contains(&self.head.status)
+    }
+
+    /// The next bytes of the body; none after its end.
+    pub async fn piece(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
+        self.conn.body_piece(&mut self.head.framing).await
+    }
+
+    /// Gives the connection back after the whole body was read.
+    pub fn finish(self) {
+        let is_reusable = self.head.keeps_alive && self.conn.unread().is_empty();
+        if is_reusable {
+            self.upstream
+                .keep(&self.endpoint, self.conn, &self.head.headers);
+        }
+    }
+}
+
+/// Reads the head of the answer to this request, passing over late answers to others.
+async fn answer_head(conn: &mut Conn, out: &Outgoing<'_>) -> Result<AnswerHead, ReadError> {
+    loop {
+        let mut head = conn.answer_head(out.method).await?;
+        let info = headers::answer_info(&head.headers, head.status);
+        let is_foreign = info.id.as_deref().is_some_and(|id| id != &*out.id.0);
+        if !is_foreign {
+            return Ok(head);
+        }
+        if !head.keeps_alive || head.framing == Framing::UntilClose {
+            return Err(ReadError::Cut);
+        }
+        conn.body(&mut head.framing, FOREIGN_MAX_BYTES).await?;
+    }
+}
+
+fn encode(endpoint: &Endpoint, out: &Outgoing<'_>, left: Duration) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(1024 + out.body.len());
+    let mut line = |parts: [&[u8]; 4]| parts.iter().for_each(|p| buf.extend_from_slice(p));
+    line([
+        out.method.as_bytes(),
+        b" ",
+        out.target.as_bytes(),
+        b" HTTP/1.1\r\n",
+    ]);
+    for (name, value) in out.headers.end_to_end() {
+        if headers::is_forwarded(name) && !name.eq_ignore_ascii_case("expect") {
+            line([name.as_bytes(), b": ", value, b"\r\n"]);
+        }
+    }
+    for (name, value) in headers::forward_headers(left, &endpoint.id) {
+        line([name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    }
+    if !out.body.is_empty() || !matches!(out.method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        let length = out.body.len().to_string();
+        line([b"Content-Length", b": ", length.as_bytes(), b"\r\n"]);
+    }
+    buf.extend_from_slice(b"\r\n");
+    buf.extend_from_slice(out.body);
+    buf
+}
+
+/// The timeout of a `Keep-Alive` header.
+fn keep_alive_timeout(value: &str) -> Option<Duration> {
+    let parameter = |p: &str| p.trim().strip_prefix("timeout=").map(str::to_owned);
+    let seconds = value.split(',').find_map(parameter)?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/kingcupspan/src/lib.rs
+++ b/kingcupspan/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod daemon;
 pub mod edge;
 pub mod filter;
+pub mod gateway;
+pub mod http;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
--- a/kingcupspan/src/logging.rs
+++ b/kingcupspan/src/logging.rs
@@ -6,12 +6,24 @@
 
 static HANDLE: OnceLock<LoggerHandle> = OnceLock::new();
 
-/// Starts logging to standard error, one JSON object a line.
-pub fn start(level: &str) -> Result<(), FlexiLoggerError> {
-    let handle = Logger::try_with_str(spec(level))?
-        .log_to_stderr()
-        .format(format)
-        .start()?;
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Target {
+    /// Standard output.
+    Stdout,
+
+    /// Standard error.
+    Stderr,
+}
+
+/// Starts logging, one JSON object a line.
+pub fn start(level: &str, target: Target) -> Result<(), FlexiLoggerError> {
+    let logger = Logger::try_with_str(spec(level))?;
+    let logger = match target {
+        Target::Stdout => logger.log_to_stdout(),
+        Target::Stderr => logger.log_to_stderr(),
+    };
+    let handle = logger.format(format).start()?;
     // Logging is started once a process; a second start keeps the first handle.
     let _ = HANDLE.set(handle);
     Ok(())
--- /dev/null
+++ b/kingcupspan_core/src/gateway/history.rs
@@ -0,0 +1,156 @@
+//! Turns that the system keeps, and the prompt that they make.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::call::{ProgramKey, RequestId};
+
+/// A turn that was answered whole.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Turn {
+    /// Its program.
+    pub program: ProgramKey,
+
+    /// The turn that it continues from.
+    pub previous: Option<RequestId>,
+
+    /// What the caller sent.
+    #[serde(with = "serde_bytes_vec")]
+    pub input: Vec<u8>,
+
+    /// Data of each event, each followed by a line feed.
+    #[serde(with = "serde_bytes_vec")]
+    pub output: Vec<u8>,
+}
+
+/// Bytes as one MessagePack binary in place of a list of numbers.
+mod serde_bytes_vec {
+    use serde::{Deserializer, Serializer, de};
+
+    pub fn serialize<S: Serializer>(bytes: &[u8], s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_bytes(bytes)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Vec<u8>, D::Error> {
+        struct Visitor;
+
+        impl<'de> de::Visitor<'de> for Visitor {
+            type Value = Vec<u8>;
+
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("bytes")
+            }
+
+            fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Vec<u8>, E> {
+                Ok(v.to_vec())
+            }
+
+            fn visit_byte_buf<E: de::Error>(self, v: Vec<u8>) -> Result<Vec<u8>, E> {
+                Ok(v)
+            }
+
+            fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<u8>, A::Error> {
+                let mut bytes = Vec::new();
+                while let Some(byte) = seq.next_element()? {
+                    bytes.push(byte);
+                }
+                Ok(bytes)
+            }
+        }
+
+        d.deserialize_byte_buf(Visitor)
+    }
+}
+
+impl Turn {
+    fn bytes(&self) -> usize {
+        self.input.len() + self.output.len()
+    }
+}
+
+/// Kept turns in memory, the oldest dropped first; the store holds them all.
+#[derive(Debug)]
+pub struct Cache {
+    turns: HashMap<RequestId, Arc<Turn>>,
+    order: VecDeque<RequestId>,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl Cache {
+    /// An empty cache of at most `max_bytes` of turns.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            turns: HashMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Adds a turn.
+    pub fn insert(&mut self, id: RequestId, turn: Arc<Turn>) {
+        self.bytes += turn.bytes();
+        if let Some(former) = self.turns.insert(id.clone(), turn) {
+            self.bytes -= former.bytes();
+        } else {
+            self.order.push_back(id);
+        }
+        while self.bytes > self.max_bytes {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            if let Some(turn) = self.turns.remove(&oldest) {
+                self.bytes -= turn.bytes();
+            }
+        }
+    }
+
+    /// A turn.
+    pub fn get(&self, id: &RequestId) -> Option<&Arc<Turn>> {
+        self.turns.get(id)
+    }
+
+    /// Number of turns.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// The chain that ends with `last`, oldest first, or the turn that is missing.
+    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, RequestId> {
+        let mut chain = Vec::new();
+        let mut next = Some(last);
+        while let Some(id) = next {
+            let turn = self.turns.get(id).ok_or_else(|| id.clone())?;
+            chain.push(Arc::clone(turn));
+            next = turn.previous.as_ref();
+            if chain.len() > self.turns.len() {
+                // Ids that name each other; no such chain was ever answered.
+                return Err(id.clone());
+            }
+        }
+        chain.reverse();
+        Ok(chain)
+    }
+}
+
+/// The prompt of a turn: all earlier inputs and outputs, then the new input.
+pub fn prompt(chain: &[Arc<Turn>], input: &[u8]) -> Vec<u8> {
+    let before: usize = chain.iter().map(|t| t.bytes()).sum();
+    let mut prompt = Vec::with_capacity(before + input.len());
+    for turn in chain {
+        prompt.extend_from_slice(&turn.input);
+        prompt.extend_from_slice(&turn.output);
+    }
+    prompt.extend_from_slice(input);
+    prompt
+}
--- /dev/null
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions of a daemon that stands on the users' platform: routes, endpoints,
+//! placement, budgets and histories.
+
+pub mod allowance;
+pub mod call;
+pub mod endpoint;
+pub mod events;
+pub mod history;
+pub mod placement;
+pub mod routing;
--- a/kingcupspan_core/src/lib.rs
+++ b/kingcupspan_core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod digest;
 pub mod document;
 pub mod fair;
+pub mod gateway;
 pub mod id;
 pub mod membership;
 pub mod owner;
