--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -96,7 +96,7 @@
                     return Err(LedgerError::Spent { taken, budget });
                 }
                 Verdict::Spent => {
-                    let place = self.partitions.place(program);
+                    let place = self.partitions.place_of_program(program);
                     self.partitions.refresh(place).await?;
                     is_fresh = true;
                 }
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod ingress;
 pub mod ledger;
 pub mod partitions;
+pub mod recall;
 pub mod relay;
 pub mod run;
 pub mod serve;
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -1,7 +1,8 @@
 //! What the system keeps in the store: turns and takings of token budgets.
 //!
-//! All records of a program lie in one partition, chosen by its id. A daemon
-//! reads a partition on from where it stopped, and only when it needs to.
+//! A turn lies in a partition chosen by its id, so that whoever knows the id
+//! finds it; takings lie in one chosen by their program. A daemon reads a
+//! partition on from where it stopped, and only when it needs to.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -20,11 +21,11 @@
 
 use crate::gateway::store::{Read, Store, StoreFailure};
 
-/// Topics over which programs are spread; with the partitions of each this
-/// keeps what must be read for one program small.
+/// Topics over which records are spread; with the partitions of each this
+/// keeps what must be read for one turn or program small.
 const TOPICS: usize = 64;
 
-/// A record of a program.
+/// A record.
 #[derive(Debug, Serialize, Deserialize)]
 enum Stored {
     /// A turn that was answered whole.
@@ -34,7 +35,7 @@
     Taking(ProgramKey, TakingId, u64),
 }
 
-/// Where a program's records lie.
+/// A partition of the system's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Place {
     topic: usize,
@@ -69,9 +70,18 @@
         }
     }
 
-    /// Where a program's records lie.
-    pub fn place(&self, program: &ProgramKey) -> Place {
-        let hash = Digest::of(program.0.as_bytes()).short();
+    /// Where the takings of a program lie.
+    pub fn place_of_program(&self, program: &ProgramKey) -> Place {
+        self.place(&program.0)
+    }
+
+    /// Where a turn lies.
+    pub fn place_of_turn(&self, id: &RequestId) -> Place {
+        self.place(&id.0)
+    }
+
+    fn place(&self, name: &str) -> Place {
+        let hash = Digest::of(name.as_bytes()).short();
         Place {
             topic: (hash % TOPICS as u64) as usize,
             part: (hash / TOPICS as u64 % u64::from(self.parts)) as u32,
@@ -82,8 +92,8 @@
         Partition::own(&self.topics[place.topic], place.part)
     }
 
-    /// The chain of turns that ends with `last`, or the turn that is missing.
-    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, RequestId> {
+    /// The chain of turns that ends with `last`, or the turns that are missing.
+    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, Vec<RequestId>> {
         self.turns.lock().chain(last)
     }
 
@@ -103,8 +113,8 @@
             key: key(&format!("turn/{id}")),
             value: Some(encode(&Stored::Turn(id.clone(), (*turn).clone()))),
         };
-        let place = self.place(&turn.program);
-        let appended = self.store.append(self.partition(place), &[record]).await?;
+        let place = self.place_of_turn(id);
+        let appended = self.append(place, record).await?;
         self.turns.lock().insert(id.clone(), turn);
         self.skip_own(place, appended);
         Ok(())
@@ -122,12 +132,16 @@
             key: key(&format!("taking/{program}/{}/{}", id.taker, id.number)),
             value: Some(encode(&taking)),
         };
-        let place = self.place(program);
-        let appended = self.store.append(self.partition(place), &[record]).await?;
+        let place = self.place_of_program(program);
+        let appended = self.append(place, record).await?;
         self.apply(taking);
         self.read_to(place, appended).await
     }
 
+    async fn append(&self, place: Place, record: Record) -> Result<Appended, StoreFailure> {
+        self.store.append(self.partition(place), &[record]).await
+    }
+
     /// Moves the position past a record of our own if nothing lies between.
     fn skip_own(&self, place: Place, appended: Appended) {
         if let Some(mut position) = self.position(place).try_lock_arc()
@@ -153,7 +167,7 @@
         }
     }
 
-    /// Reads everything that the partition of a program holds by now.
+    /// Reads everything that a partition holds by now.
     pub async fn refresh(&self, place: Place) -> Result<(), StoreFailure> {
         let mut position = self.position(place).lock_arc().await;
         self.read_on(place, &mut position).await
--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -164,9 +164,12 @@
 
 fn turn(ex: &mut Exchange, scanner: Scanner) -> Option<Turn> {
     let program = ex.info.program.as_ref()?;
+    let before = ex.history.last();
+    let mut ancestors = before.map_or_else(Vec::new, |t| t.ancestors.clone());
+    ancestors.extend(program.previous.clone());
     Some(Turn {
         program: program.program.clone(),
-        previous: program.previous.clone(),
+        ancestors,
         input: std::mem::take(&mut ex.body),
         output: scanner.into_output(),
     })
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -28,6 +28,7 @@
         exchange::{Exchange, Progress},
         ledger::{Ledger, LedgerError},
         partitions::Partitions,
+        recall::{self, RecallError},
         relay,
         stop::Stop,
         upstream::{Lease, Outgoing, Reply, SendError, Upstream},
@@ -207,43 +208,24 @@
 
     /// Finds the turns before this one.
     async fn recall(&self, ex: &mut Exchange) -> Result<(), Refusal> {
-        if !ex.is_kept_turn() {
-            return Ok(());
-        }
-        let Some(program) = &ex.info.program else {
-            return Ok(());
-        };
-        let Some(previous) = &program.previous else {
+        let program = ex.info.program.as_ref().filter(|_| ex.is_kept_turn());
+        let Some(previous) = program.and_then(|p| p.previous.clone()) else {
             return Ok(());
         };
-        let mut missing = match self.partitions.chain(previous) {
+        match recall::chain(&self.partitions, &previous).await {
             Ok(chain) => {
                 ex.history = chain;
-                return Ok(());
+                Ok(())
             }
-            Err(missing) => missing,
-        };
-        let place = self.partitions.place(&program.program);
-        for is_whole in [false, true] {
-            let read = match is_whole {
-                false => self.partitions.refresh(place).await,
-                true => self.partitions.reload(place).await,
-            };
-            if let Err(e) = read {
-                let id = &*ex.id.0;
-                log::warn!(request = id, error = e.to_string().as_str(); "history cannot be read");
-                return Err(store_away());
+            Err(RecallError::Unknown(missing)) => {
+                log::warn!(request = &*ex.id.0, missing = &*missing.0; "no such turn");
+                Err(Reason::NoTurn.into())
             }
-            match self.partitions.chain(previous) {
-                Ok(chain) => {
-                    ex.history = chain;
-                    return Ok(());
-                }
-                Err(m) => missing = m,
+            Err(e) => {
+                log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "history unknown");
+                Err(store_away())
             }
         }
-        log::warn!(request = &*ex.id.0, missing = &*missing.0; "no such turn");
-        Err(Reason::NoTurn.into())
     }
 
     /// Reserves the tokens that a turn may generate.
--- a/kingcupspan_core/src/gateway/history.rs
+++ b/kingcupspan_core/src/gateway/history.rs
@@ -15,8 +15,8 @@
     /// Its program.
     pub program: ProgramKey,
 
-    /// The turn that it continues from.
-    pub previous: Option<RequestId>,
+    /// The turns before it, oldest first: whoever reads this one knows where to look.
+    pub ancestors: Vec<RequestId>,
 
     /// What the caller sent.
     #[serde(with = "serde_bytes_vec")]
@@ -125,21 +125,23 @@
         self.turns.is_empty()
     }
 
-    /// The chain that ends with `last`, oldest first, or the turn that is missing.
-    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, RequestId> {
-        let mut chain = Vec::new();
-        let mut next = Some(last);
-        while let Some(id) = next {
-            let turn = self.turns.get(id).ok_or_else(|| id.clone())?;
-            chain.push(Arc::clone(turn));
-            next = turn.previous.as_ref();
-            if chain.len() > self.turns.len() {
-                // Ids that name each other; no such chain was ever answered.
-                return Err(id.clone());
-            }
+    /// The chain that ends with `last`, oldest first, or the turns of it that
+    /// are missing as far as is known.
+    pub fn chain(&self, last: &RequestId) -> Result<Vec<Arc<Turn>>, Vec<RequestId>> {
+        let Some(turn) = self.turns.get(last) else {
+            return Err(vec![last.clone()]);
+        };
+        let missing: Vec<RequestId> = turn
+            .ancestors
+            .iter()
+            .filter(|id| !self.turns.contains_key(id))
+            .cloned()
+            .collect();
+        if !missing.is_empty() {
+            return Err(missing);
         }
-        chain.reverse();
-        Ok(chain)
+        let ancestors = turn.ancestors.iter().filter_map(|id| self.turns.get(id));
+        Ok(ancestors.chain([turn]).cloned().collect())
     }
 }
 
