Bridge outages of the store through peers

Change: daemons list themselves in the store and ask each other: two peers keep copies of a turn until the store takes it, unused tokens change hands, and a new program gets part of its budget to be recorded later. A turn is called unknown only when no copy of it can have been lost.

--- a/kingcupspan/src/gateway/answer.rs
+++ b/kingcupspan/src/gateway/answer.rs
@@ -36,6 +36,10 @@
     #[display("budget spent")]
     BudgetSpent,
 
+    /// Turns under way have reserved what is left of the budget.
+    #[display("budget reserved")]
+    BudgetBusy,
+
     /// No configuration is known yet.
     #[display("no configuration")]
     NoConfiguration,
@@ -75,7 +79,8 @@
             Self::SlowRequest => 408,
             Self::NoRoute | Self::NoTurn => 404,
             Self::BudgetSpent => 402,
-            Self::NoConfiguration
+            Self::BudgetBusy
+            | Self::NoConfiguration
             | Self::NoEndpoint
             | Self::Full
             | Self::StoreAway
--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -1,28 +1,37 @@
 //! Token budgets of the programs whose turns run through this daemon.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration, time::Instant};
 
-use async_std::sync::Mutex as AsyncMutex;
+use async_std::{sync::Mutex as AsyncMutex, task};
 use kingcupspan_core::gateway::{
-    allowance::{Allowance, TakingId, Verdict},
+    allowance::{self, Allowance, Holdings, Step, TakingId, Verdict},
     call::ProgramKey,
 };
 use parking_lot::Mutex;
 
-use crate::gateway::{partitions::Partitions, store::StoreFailure};
+use crate::gateway::{
+    partitions::Partitions,
+    peers::{Ask, Peers, Tell},
+    store::StoreFailure,
+};
+
+/// Pause before peers are asked again for tokens that turns under way may give back.
+const ASK_PAUSE: Duration = Duration::from_millis(40);
+
+/// Part of a limit that is granted without the store; two sides that cannot
+/// reach each other stay within the whole.
+const PROVISIONAL_DIVISOR: u64 = 2;
 
 /// Why a turn gets no tokens.
 #[derive(Debug, thiserror::Error)]
 pub enum LedgerError {
     /// The budget does not hold another turn.
-    #[error("{taken} of {budget} tokens are taken")]
-    Spent {
-        /// Tokens taken by all daemons.
-        taken: u64,
+    #[error("the budget is spent")]
+    Spent(Holdings),
 
-        /// The program's budget.
-        budget: u64,
-    },
+    /// Tokens may come back, but not in time.
+    #[error("tokens are reserved by other turns")]
+    Busy(Holdings),
 
     /// It cannot be told.
     #[error("the budget cannot be read: {0}")]
@@ -38,9 +47,10 @@
 /// All accounts of this daemon.
 pub struct Ledger {
     partitions: Arc<Partitions>,
-    taker: String,
+    peers: Arc<Peers>,
     next: Mutex<u64>,
     accounts: Mutex<HashMap<ProgramKey, Arc<Account>>>,
+    asked: Mutex<HashMap<ProgramKey, String>>,
 }
 
 /// Tokens reserved for one turn; what was not used goes back when it is dropped.
@@ -58,81 +68,233 @@
     }
 }
 
+/// A turn that asks for tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// Its program.
+    pub program: &'a ProgramKey,
+
+    /// The program's budget.
+    pub budget: u64,
+
+    /// The most that the turn may use.
+    pub most: u64,
+
+    /// How long it can wait for tokens to come back.
+    pub until: Instant,
+}
+
 impl Ledger {
-    /// No accounts yet; `taker` names this incarnation of the daemon.
-    pub fn new(partitions: Arc<Partitions>, taker: String) -> Self {
+    /// No accounts yet.
+    pub fn new(partitions: Arc<Partitions>, peers: Arc<Peers>) -> Self {
         Self {
             partitions,
-            taker,
+            peers,
             next: Mutex::default(),
             accounts: Mutex::default(),
+            asked: Mutex::default(),
         }
     }
 
-    /// Reserves up to `most` tokens of a program's budget for a turn.
-    pub async fn reserve(
-        &self,
-        program: &ProgramKey,
-        budget: u64,
-        most: u64,
-    ) -> Result<Reservation, LedgerError> {
-        let account = Arc::clone(self.accounts.lock().entry(program.clone()).or_default());
-        let reserved = |account| Reservation {
-            account,
-            most,
-            used: 0,
-        };
-        if self.decide(&account, program, budget, most) == Verdict::Run {
-            return Ok(reserved(account));
-        }
-        let taking = account.taking.lock().await;
-        let mut is_fresh = false;
+    /// Reserves tokens of a program's budget for a turn.
+    pub async fn reserve(&self, need: Need<'_>) -> Result<Reservation, LedgerError> {
+        let account = self.account(need.program);
         loop {
-            match self.decide(&account, program, budget, most) {
-                Verdict::Run => break,
-                Verdict::Take(tokens) => self.take(&account, program, budget, tokens).await?,
-                Verdict::Spent if is_fresh => {
-                    let taken = self.partitions.total_taken(program);
-                    return Err(LedgerError::Spent { taken, budget });
-                }
-                Verdict::Spent => {
-                    let place = self.partitions.place_of_program(program);
-                    self.partitions.refresh(place).await?;
-                    is_fresh = true;
+            let step = self.step(&account, need);
+            match step {
+                Step::Run => {
+                    return Ok(Reservation {
+                        account,
+                        most: need.most,
+                        used: 0,
+                    });
                 }
+                Step::Take(_) | Step::Short(_) => self.obtain(&account, need).await?,
             }
         }
-        drop(taking);
-        Ok(reserved(account))
     }
 
-    fn decide(&self, account: &Account, program: &ProgramKey, budget: u64, most: u64) -> Verdict {
-        let total = self.partitions.total_taken(program);
-        account.allowance.lock().decide(most, budget, total)
+    fn account(&self, program: &ProgramKey) -> Arc<Account> {
+        Arc::clone(self.accounts.lock().entry(program.clone()).or_default())
+    }
+
+    fn step(&self, account: &Account, need: Need<'_>) -> Step {
+        let total = self.partitions.total_taken(need.program);
+        account.allowance.lock().step(need.most, need.budget, total)
+    }
+
+    /// Gets tokens from the store or from peers; one turn of a program at a time.
+    async fn obtain(&self, account: &Account, need: Need<'_>) -> Result<(), LedgerError> {
+        let _taking = account.taking.lock().await;
+        let missing = need.most.saturating_sub(account.allowance.lock().free());
+        if missing == 0 {
+            return Ok(());
+        }
+        let total = self.partitions.total_taken(need.program);
+        if total + missing > allowance::limit(need.budget, need.most) {
+            return self.gather(account, need, missing).await;
+        }
+        match self.take(account, need, missing).await {
+            Ok(()) => Ok(()),
+            Err(e) => self.do_without_store(account, need, missing, e).await,
+        }
     }
 
     async fn take(
         &self,
         account: &Account,
-        program: &ProgramKey,
-        budget: u64,
+        need: Need<'_>,
         tokens: u64,
     ) -> Result<(), StoreFailure> {
         let id = self.next_id();
-        self.partitions.take(program, &id, tokens).await?;
-        if self.partitions.total_taken(program) <= budget {
+        self.partitions.take(need.program, &id, tokens).await?;
+        let total = self.partitions.total_taken(need.program);
+        if total <= allowance::limit(need.budget, need.most) {
             account.allowance.lock().add(tokens);
             return Ok(());
         }
         // Others were faster: give the tokens back and look again.
-        self.partitions.take(program, &id, 0).await
+        self.partitions.take(need.program, &id, 0).await
+    }
+
+    /// Asks the daemons that took tokens for unused ones.
+    async fn gather(
+        &self,
+        account: &Account,
+        need: Need<'_>,
+        missing: u64,
+    ) -> Result<(), LedgerError> {
+        let own = *account.allowance.lock();
+        let mut holdings = Holdings {
+            used: own.used,
+            reserved: own.reserved,
+            unknown: 0,
+        };
+        let mut gathered = 0;
+        for (taker, taken) in self.partitions.takers(need.program) {
+            if taker == self.peers.own.incarnation || taken == 0 {
+                continue;
+            }
+            let Some(peer) = self.peers.by_incarnation(&taker) else {
+                holdings.used += taken;
+                continue;
+            };
+            match self
+                .peers
+                .ask(&peer, &self.ask(need.program, missing - gathered))
+                .await
+            {
+                Ok(Tell::Released { tokens, holds, .. }) => {
+                    gathered += tokens;
+                    let holds = holds.unwrap_or_default();
+                    holdings.used += holds.used;
+                    holdings.reserved += holds.reserved;
+                }
+                _ => holdings.unknown += taken,
+            }
+        }
+        account.allowance.lock().add(gathered);
+        if gathered >= missing {
+            return Ok(());
+        }
+        if allowance::judge(need.budget, holdings) == Verdict::Spent {
+            return Err(LedgerError::Spent(holdings));
+        }
+        if Instant::now() + ASK_PAUSE > need.until {
+            return Err(LedgerError::Busy(holdings));
+        }
+        task::sleep(ASK_PAUSE).await;
+        Ok(())
+    }
+
+    fn ask(&self, program: &ProgramKey, want: u64) -> Ask {
+        Ask::Release {
+            program: program.clone(),
+            want,
+            by: self.peers.own.incarnation.clone(),
+        }
+    }
+
+    /// While the store is away, a program that no daemon in reach knows is new:
+    /// it gets a part of its budget, to be recorded when the store is back.
+    async fn do_without_store(
+        &self,
+        account: &Account,
+        need: Need<'_>,
+        missing: u64,
+        failure: StoreFailure,
+    ) -> Result<(), LedgerError> {
+        let is_known = self.partitions.knows_takings(need.program);
+        let mut found_elsewhere = is_known;
+        let mut gathered = 0;
+        let told = self
+            .peers
+            .ask_all(self.peers.all(), &self.ask(need.program, missing))
+            .await;
+        for (_, told) in told {
+            if let Ok(Tell::Released {
+                tokens,
+                holds,
+                asked_before,
+            }) = told
+            {
+                gathered += tokens;
+                found_elsewhere |= holds.is_some() || asked_before.is_some();
+            }
+        }
+        account.allowance.lock().add(gathered);
+        if gathered >= missing {
+            return Ok(());
+        }
+        let limit = allowance::limit(need.budget, need.most) / PROVISIONAL_DIVISOR;
+        let held = account.allowance.lock().taken;
+        if found_elsewhere || held + missing > limit {
+            return Err(failure.into());
+        }
+        account.allowance.lock().add(missing);
+        log::info!(program = &*need.program.0, tokens = missing; "tokens granted without the store");
+        self.record_later(need.program, missing);
+        Ok(())
+    }
+
+    /// Records a provisional taking as soon as the store takes it.
+    fn record_later(&self, program: &ProgramKey, tokens: u64) {
+        let partitions = Arc::clone(&self.partitions);
+        let (program, id) = (program.clone(), self.next_id());
+        task::spawn(async move {
+            while let Err(e) = partitions.take(&program, &id, tokens).await {
+                log::debug!(program = &*program.0, error = e.to_string().as_str(); "taking not recorded yet");
+                task::sleep(ASK_PAUSE * 5).await;
+            }
+        });
+    }
+
+    /// Hands unused tokens to another daemon.
+    pub fn release(&self, program: &ProgramKey, want: u64, by: &str) -> Tell {
+        let account = self.accounts.lock().get(program).cloned();
+        let (tokens, holds) = match account {
+            None => (0, None),
+            Some(account) => {
+                let mut allowance = account.allowance.lock();
+                (allowance.release(want), Some(*allowance))
+            }
+        };
+        let mut asked = self.asked.lock();
+        let first = asked
+            .entry(program.clone())
+            .or_insert_with(|| by.to_owned());
+        Tell::Released {
+            tokens,
+            holds: holds.filter(|h| h.taken + tokens > 0),
+            asked_before: (first != by).then(|| first.clone()),
+        }
     }
 
     fn next_id(&self) -> TakingId {
         let mut next = self.next.lock();
         *next += 1;
         TakingId {
-            taker: self.taker.clone(),
+            taker: self.peers.own.incarnation.clone(),
             number: *next,
         }
     }
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -4,7 +4,11 @@
 //! finds it; takings lie in one chosen by their program. A daemon reads a
 //! partition on from where it stopped, and only when it needs to.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::sync::{Mutex as AsyncMutex, MutexGuardArc};
 use kingcupspan_core::{
@@ -25,6 +29,12 @@
 /// keeps what must be read for one turn or program small.
 const TOPICS: usize = 64;
 
+/// Index of the topic with takings, behind those with turns.
+const TAKINGS_TOPIC: usize = TOPICS;
+
+/// Most partitions with takings.
+const TAKINGS_PARTS: u32 = 4;
+
 /// A record.
 #[derive(Debug, Serialize, Deserialize)]
 enum Stored {
@@ -59,10 +69,12 @@
     /// Nothing read yet; `parts` partitions in each topic, `cache_bytes` of
     /// turns in memory.
     pub fn new(store: Arc<Store>, parts: u32, cache_bytes: usize) -> Self {
-        let name = |i| store::own_topic(&format!("programs-{i}"));
+        let name = |i| store::own_topic(&format!("turns-{i}"));
+        let mut topics: Vec<String> = (0..TOPICS).map(name).collect();
+        topics.push(store::own_topic("takings"));
         Self {
             store,
-            topics: (0..TOPICS).map(name).collect(),
+            topics,
             parts,
             positions: Mutex::default(),
             turns: Mutex::new(Cache::new(cache_bytes)),
@@ -70,9 +82,14 @@
         }
     }
 
-    /// Where the takings of a program lie.
+    /// Where the takings of a program lie: few partitions, so that each daemon
+    /// sees all takings soon.
     pub fn place_of_program(&self, program: &ProgramKey) -> Place {
-        self.place(&program.0)
+        let hash = Digest::of(program.0.as_bytes()).short();
+        Place {
+            topic: TAKINGS_TOPIC,
+            part: (hash % u64::from(self.parts.min(TAKINGS_PARTS))) as u32,
+        }
     }
 
     /// Where a turn lies.
@@ -102,6 +119,28 @@
         self.takings.lock().total(program)
     }
 
+    /// Whether anybody is known to have taken tokens of a program.
+    pub fn knows_takings(&self, program: &ProgramKey) -> bool {
+        self.takings.lock().knows(program)
+    }
+
+    /// Who took how many tokens of a program, as far as was read.
+    pub fn takers(&self, program: &ProgramKey) -> BTreeMap<String, u64> {
+        self.takings.lock().takers(program)
+    }
+
+    /// Keeps a turn in memory only, for a daemon that cannot reach the store.
+    pub fn keep_copy(&self, id: RequestId, turn: Arc<Turn>) {
+        self.turns.lock().insert(id, turn);
+    }
+
+    /// Those of some turns that are in memory.
+    pub fn in_memory(&self, ids: &[RequestId]) -> Vec<(RequestId, Turn)> {
+        let turns = self.turns.lock();
+        let found = |id: &RequestId| Some((id.clone(), (**turns.get(id)?).clone()));
+        ids.iter().filter_map(found).collect()
+    }
+
     /// Number of turns in memory.
     pub fn turns_in_memory(&self) -> usize {
         self.turns.lock().len()
--- /dev/null
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -0,0 +1,64 @@
+//! Answers the other daemons.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::{net::TcpListener, task};
+use http_types::Response;
+
+use crate::{
+    edge::server::{self, Exchange},
+    gateway::{
+        keeper,
+        peers::{Ask, Tell},
+        serve::Service,
+    },
+};
+
+/// Largest question, in bytes.
+const ASK_MAX_BYTES: u64 = 1024 * 1024;
+
+/// How long a question may take to arrive.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long whoever served a turn has to store it before a keeper of a copy does.
+const STORE_AFTER: Duration = Duration::from_secs(2);
+
+/// Serves the other daemons until the task is cancelled.
+pub async fn serve(listener: TcpListener, service: Arc<Service>) {
+    server::serve(listener, Arc::default(), move |exchange| {
+        handle(Arc::clone(&service), exchange)
+    })
+    .await;
+}
+
+async fn handle(service: Arc<Service>, mut exchange: Exchange) -> Response {
+    let body = match exchange.body(ASK_MAX_BYTES, ASK_TIMEOUT).await {
+        Ok(body) => body,
+        Err(problem) => return problem.response(),
+    };
+    let Ok(ask) = rmp_serde::from_slice(&body) else {
+        return Response::new(400);
+    };
+    // Answers are made of numbers, texts and bytes, which always encode.
+    let tell = rmp_serde::to_vec(&answer(&service, ask)).expect("answers encode");
+    let mut res = Response::new(200);
+    res.set_body(tell);
+    res
+}
+
+fn answer(service: &Service, ask: Ask) -> Tell {
+    match ask {
+        Ask::Release { program, want, by } => service.ledger.release(&program, want, &by),
+        Ask::Find(ids) => Tell::Found(service.partitions.in_memory(&ids)),
+        Ask::Keep(id, turn) => {
+            let turn = Arc::new(turn);
+            service.partitions.keep_copy(id.clone(), Arc::clone(&turn));
+            let partitions = Arc::clone(&service.partitions);
+            task::spawn(async move {
+                task::sleep(STORE_AFTER).await;
+                keeper::store(partitions, id, turn).await;
+            });
+            Tell::Kept
+        }
+    }
+}
--- a/kingcupspan/src/gateway/recall.rs
+++ b/kingcupspan/src/gateway/recall.rs
@@ -1,12 +1,13 @@
 //! Finds the turns before a turn.
 
-use std::{collections::HashSet, sync::Arc};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use async_std::task;
 use kingcupspan_core::gateway::{call::RequestId, history::Turn};
 
 use crate::gateway::{
     partitions::{Partitions, Place},
+    peers::{Ask, Peers, Tell},
     store::StoreFailure,
 };
 
@@ -21,6 +22,10 @@
     #[error(transparent)]
     Unreadable(#[from] StoreFailure),
 
+    /// The store does not hold this turn, but a copy may be out of reach.
+    #[error("turn {0} is not found")]
+    Uncertain(RequestId),
+
     /// The turn is there, one before it is not.
     #[error("the chain lacks {0}")]
     Broken(RequestId),
@@ -36,8 +41,56 @@
     All,
 }
 
-/// The chain that ends with `last`, from memory or from the store.
+/// Rounds of questions to peers: for the turn itself, then for those before it.
+const PEER_ROUNDS: usize = 2;
+
+/// The chain that ends with `last`, from memory, the store or peers' memory.
+///
+/// A turn counts as unknown only if no copy of it can have been lost within
+/// `retention`: every daemon answers and has run for that long.
 pub async fn chain(
+    partitions: &Arc<Partitions>,
+    peers: &Arc<Peers>,
+    last: &RequestId,
+    retention: Duration,
+) -> Result<Vec<Arc<Turn>>, RecallError> {
+    let from_store = stored_chain(partitions, last).await;
+    if from_store.is_ok() {
+        return from_store;
+    }
+    let mut all_answered = true;
+    for _ in 0..PEER_ROUNDS {
+        let Err(missing) = partitions.chain(last) else {
+            break;
+        };
+        all_answered = ask(partitions, peers, missing).await;
+    }
+    let found = partitions.chain(last).or(from_store);
+    match found {
+        Err(RecallError::Unknown(id)) if !(all_answered && peers.have_run_for(retention)) => {
+            Err(RecallError::Uncertain(id))
+        }
+        found => found,
+    }
+}
+
+/// Looks for turns in the memory of peers, which may hold copies that the store
+/// lacks; false if not all peers answered.
+async fn ask(partitions: &Partitions, peers: &Arc<Peers>, missing: Vec<RequestId>) -> bool {
+    let mut all_answered = true;
+    for (_, told) in peers.ask_all(peers.all(), &Ask::Find(missing)).await {
+        let Ok(Tell::Found(turns)) = told else {
+            all_answered = false;
+            continue;
+        };
+        for (id, turn) in turns {
+            partitions.keep_copy(id, Arc::new(turn));
+        }
+    }
+    all_answered
+}
+
+async fn stored_chain(
     partitions: &Arc<Partitions>,
     last: &RequestId,
 ) -> Result<Vec<Arc<Turn>>, RecallError> {
@@ -60,7 +113,10 @@
     turns: &[RequestId],
     extent: Extent,
 ) -> Result<(), StoreFailure> {
-    let places: HashSet<Place> = turns.iter().map(|id| partitions.place_of_turn(id)).collect();
+    let places: HashSet<Place> = turns
+        .iter()
+        .map(|id| partitions.place_of_turn(id))
+        .collect();
     let reads: Vec<_> = places
         .into_iter()
         .map(|place| {
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -20,6 +20,8 @@
         ingress,
         ledger::Ledger,
         partitions::Partitions,
+        peer_service,
+        peers::{self, Peer, Peers},
         serve::Service,
         stop::Stop,
         store::Store,
@@ -37,6 +39,7 @@
     callers: TcpListener,
     readiness: TcpListener,
     operators: TcpListener,
+    peers: TcpListener,
 }
 
 impl Listeners {
@@ -46,28 +49,43 @@
             callers: TcpListener::bind(settings.callers).await?,
             readiness: TcpListener::bind(settings.readiness).await?,
             operators: TcpListener::bind(settings.operators).await?,
+            peers: TcpListener::bind(settings.peers).await?,
         })
     }
 }
 
 /// Assembles what serves requests.
 pub fn assemble(settings: &Settings, incarnation: u64) -> Arc<Service> {
+    let clock = Clock::default();
     let store = Arc::new(Store::new(settings.store.addr));
     let configuration = Arc::new(Current::default());
-    let endpoints = Arc::new(Endpoints::new(Clock::default()));
+    let endpoints = Arc::new(Endpoints::new(clock));
     let cache_bytes = (settings.memory_bytes / CACHE_SHARE) as usize;
     let partitions = Partitions::new(Arc::clone(&store), settings.store.partitions, cache_bytes);
     let partitions = Arc::new(partitions);
-    let taker = format!("{}/{incarnation:016x}", settings.vm);
+    let own = Peer {
+        vm: settings.vm.clone(),
+        incarnation: format!("{}/{incarnation:016x}", settings.vm),
+        addr: settings.peers,
+        domain: settings.domain.clone(),
+        started: clock.wall(),
+    };
+    let peers = Arc::new(Peers::new(own, clock));
     task::spawn(configuration::follow(
         Arc::clone(&store),
         Arc::clone(&configuration),
     ));
-    task::spawn(endpoints::follow(store, Arc::clone(&endpoints)));
+    task::spawn(endpoints::follow(
+        Arc::clone(&store),
+        Arc::clone(&endpoints),
+    ));
+    task::spawn(peers::follow(Arc::clone(&store), Arc::clone(&peers)));
     Arc::new(Service {
         configuration,
         endpoints,
-        ledger: Arc::new(Ledger::new(Arc::clone(&partitions), taker)),
+        ledger: Arc::new(Ledger::new(Arc::clone(&partitions), Arc::clone(&peers))),
+        peers,
+        store,
         partitions,
         upstream: Arc::default(),
         domain: settings.domain.clone(),
@@ -95,12 +113,14 @@
             },
         ));
     }
+    task::spawn(peer_service::serve(listeners.peers, Arc::clone(&service)));
     task::spawn(sweep(Arc::clone(&service)));
     log::info!("started");
     // The sender lives as long as the process handles signals.
     let _ = stopped.recv().await;
     log::info!("stopping");
     service.stop.run(grace).await;
+    peers::leave(&service.store, &service.peers).await;
     log::info!(under_way = service.stop.under_way(); "stopped");
 }
 
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use async_std::{future, task};
+use async_std::future;
 use futures_lite::FutureExt;
 use kingcupspan_core::{
     digest::Digest,
@@ -26,11 +26,14 @@
         configuration::Current,
         endpoints::Endpoints,
         exchange::{Exchange, Progress},
-        ledger::{Ledger, LedgerError},
+        keeper,
+        ledger::{Ledger, LedgerError, Need},
         partitions::Partitions,
+        peers::Peers,
         recall::{self, RecallError},
         relay,
         stop::Stop,
+        store::Store,
         upstream::{Lease, Outgoing, Reply, SendError, Upstream},
     },
     http::{
@@ -48,9 +51,6 @@
 /// When a caller should come back while the store is away.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Pause between attempts at the store while a request waits for it.
-const STORE_PAUSE: Duration = Duration::from_millis(50);
-
 /// Tokens that a turn may generate if its caller does not say.
 const OUTPUT_TOKENS_DEFAULT: u64 = 1_024;
 
@@ -68,6 +68,12 @@
     /// Budgets of programs.
     pub ledger: Arc<Ledger>,
 
+    /// The other daemons.
+    pub peers: Arc<Peers>,
+
+    /// The platform's store.
+    pub store: Arc<Store>,
+
     /// Connections to endpoints.
     pub upstream: Arc<Upstream>,
 
@@ -212,7 +218,8 @@
         let Some(previous) = program.and_then(|p| p.previous.clone()) else {
             return Ok(());
         };
-        match recall::chain(&self.partitions, &previous).await {
+        let retention = ex.route.retention.unwrap_or_default();
+        match recall::chain(&self.partitions, &self.peers, &previous, retention).await {
             Ok(chain) => {
                 ex.history = chain;
                 Ok(())
@@ -236,29 +243,32 @@
         let Some(budget) = program.budget else {
             return Ok(());
         };
-        let most = ex
-            .info
-            .usage
-            .map_or(OUTPUT_TOKENS_DEFAULT, |u| u.max_output);
-        loop {
-            match self.ledger.reserve(&program.program, budget, most).await {
-                Ok(reservation) => {
-                    ex.reservation = Some(reservation);
-                    return Ok(());
-                }
-                Err(LedgerError::Spent { taken, budget }) => {
-                    log::info!(request = &*ex.id.0, taken, budget, most; "budget spent");
-                    return Err(Reason::BudgetSpent.into());
-                }
-                Err(LedgerError::Unknown(e)) => {
-                    log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "budget unknown");
-                    if ex.left() < STORE_RETRY_AFTER {
-                        return Err(store_away());
-                    }
-                    task::sleep(STORE_PAUSE).await;
-                }
+        let need = Need {
+            program: &program.program,
+            budget,
+            most: ex
+                .info
+                .usage
+                .map_or(OUTPUT_TOKENS_DEFAULT, |u| u.max_output),
+            until: ex.deadline - ex.left() / 2,
+        };
+        let e = match self.ledger.reserve(need).await {
+            Ok(reservation) => {
+                ex.reservation = Some(reservation);
+                return Ok(());
             }
-        }
+            Err(e) => e,
+        };
+        let reason = match e {
+            LedgerError::Spent(_) => Reason::BudgetSpent,
+            LedgerError::Busy(_) => Reason::BudgetBusy,
+            LedgerError::Unknown(_) => Reason::StoreAway,
+        };
+        log::info!(request = &*ex.id.0, budget, most = need.most, error:? = e; "no tokens");
+        Err(Refusal {
+            reason,
+            retry_after: (reason != Reason::BudgetSpent).then_some(STORE_RETRY_AFTER),
+        })
     }
 
     /// Sends a request until an endpoint answers.
@@ -350,10 +360,7 @@
     ) -> Result<u16, Failure> {
         if let Some(turn) = end.turn {
             let turn = Arc::new(turn);
-            while let Err(e) = self.partitions.keep_turn(&ex.id, Arc::clone(&turn)).await {
-                log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "turn not kept yet");
-                task::sleep(STORE_PAUSE).await;
-            }
+            keeper::keep(&self.partitions, &self.peers, &ex.id, turn).await;
         }
         match caller.write(&end.last_bytes).await {
             Ok(()) => Ok(end.status),
--- a/kingcupspan_core/src/gateway/allowance.rs
+++ b/kingcupspan_core/src/gateway/allowance.rs
@@ -2,11 +2,12 @@
 //!
 //! A daemon takes tokens out of a program's budget by a record on the store
 //! before it lets a turn run. Its taking is valid if it and all others that
-//! stand before or beside it fit into the budget, as read up to its own record.
-//! The last valid taking has seen every other, so valid takings never exceed
-//! the budget, whatever was lost, late or repeated.
+//! were read up to its own record fit into the limit. The last valid taking
+//! has seen every other, so valid takings never exceed the limit, whatever was
+//! lost, late or repeated. Daemons hand unused tokens to each other directly;
+//! that leaves the sum of all takings as it is.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,7 +26,7 @@
 /// All takings of programs as far as they were read.
 #[derive(Debug, Clone, Default)]
 pub struct Takings {
-    programs: HashMap<ProgramKey, HashMap<TakingId, u64>>,
+    programs: HashMap<ProgramKey, BTreeMap<TakingId, u64>>,
 }
 
 impl Takings {
@@ -35,35 +36,50 @@
         takings.insert(id, tokens);
     }
 
+    /// Whether anybody is known to have taken tokens of a program.
+    pub fn knows(&self, program: &ProgramKey) -> bool {
+        self.programs.contains_key(program)
+    }
+
     /// Tokens taken by everybody.
     pub fn total(&self, program: &ProgramKey) -> u64 {
         let takings = self.programs.get(program);
         takings.map_or(0, |t| t.values().sum())
     }
 
-    /// Forgets a program.
-    pub fn forget(&mut self, program: &ProgramKey) {
-        self.programs.remove(program);
+    /// Who took how many tokens of a program.
+    pub fn takers(&self, program: &ProgramKey) -> BTreeMap<String, u64> {
+        let mut takers = BTreeMap::new();
+        for (id, tokens) in self.programs.get(program).into_iter().flatten() {
+            *takers.entry(id.taker.clone()).or_default() += tokens;
+        }
+        takers
     }
 }
 
-/// What becomes of a turn that asks for tokens.
+/// Most that all takings of a program may come to: a turn is let in while the
+/// budget is not spent, and may then use its most.
+pub fn limit(budget: u64, most: u64) -> u64 {
+    budget + most
+}
+
+/// What a turn that asks for tokens has to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// The turn may run; its most is reserved.
+pub enum Step {
+    /// It may run; its most is reserved.
     Run,
 
     /// This many tokens must be taken first.
     Take(u64),
 
-    /// The budget does not hold the turn.
-    Spent,
+    /// This many tokens are missing and all that there are have been taken.
+    Short(u64),
 }
 
-/// What this daemon holds of one program's budget.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+/// What one daemon holds of one program's budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allowance {
-    /// Tokens taken by valid takings.
+    /// Tokens from valid takings, less those handed to others.
     pub taken: u64,
 
     /// Tokens that ended turns have used.
@@ -79,26 +95,31 @@
         self.taken.saturating_sub(self.used + self.reserved)
     }
 
-    /// Decides on a turn of at most `most` tokens, with `others` taken by all
-    /// daemons out of `budget`, this one's takings included.
-    pub fn decide(&mut self, most: u64, budget: u64, total_taken: u64) -> Verdict {
-        if self.free() >= most {
+    /// Decides on a turn of at most `most` tokens of a program with `budget`,
+    /// of which all daemons have taken `total`.
+    pub fn step(&mut self, most: u64, budget: u64, total: u64) -> Step {
+        let Some(missing) = most.checked_sub(self.free()).filter(|m| *m > 0) else {
             self.reserved += most;
-            return Verdict::Run;
-        }
-        let missing = most - self.free();
-        let left = budget.saturating_sub(total_taken);
-        match missing <= left {
-            true => Verdict::Take(want(missing, most, left)),
-            false => Verdict::Spent,
+            return Step::Run;
+        };
+        match total + missing <= limit(budget, most) {
+            true => Step::Take(missing),
+            false => Step::Short(missing),
         }
     }
 
-    /// Adds a valid taking.
+    /// Adds tokens of a valid taking or from another daemon.
     pub fn add(&mut self, tokens: u64) {
         self.taken += tokens;
     }
 
+    /// Hands up to `want` unused tokens to another daemon.
+    pub fn release(&mut self, want: u64) -> u64 {
+        let released = self.free().min(want);
+        self.taken -= released;
+        released
+    }
+
     /// Ends a turn that had `most` reserved.
     pub fn settle(&mut self, most: u64, used: u64) {
         self.reserved = self.reserved.saturating_sub(most);
@@ -106,11 +127,34 @@
     }
 }
 
-/// How much to take: enough for a second turn where the budget holds plenty.
-fn want(missing: u64, most: u64, left: u64) -> u64 {
-    let generous = missing + most;
-    match left >= generous + 2 * most {
-        true => generous,
-        false => missing,
+/// What is known of a program's tokens when some are missing.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Holdings {
+    /// Tokens used by ended turns, and all that lost daemons had taken.
+    pub used: u64,
+
+    /// Tokens that turns under way may still give back.
+    pub reserved: u64,
+
+    /// Tokens held by daemons that did not answer.
+    pub unknown: u64,
+}
+
+/// Whether a budget is spent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is; the turn is refused for good.
+    Spent,
+
+    /// Tokens may come back: from turns under way, or from daemons that do not answer.
+    Undecided,
+}
+
+/// Judges a budget of which tokens are missing.
+pub fn judge(budget: u64, holdings: Holdings) -> Verdict {
+    let may_return = holdings.reserved + holdings.unknown > 0;
+    match holdings.used >= budget || !may_return {
+        true => Verdict::Spent,
+        false => Verdict::Undecided,
     }
 }
