Make calls to the store through peers where it does not answer a daemon

Cause: a daemon that alone was refused by the store granted tokens that others took from the store. Change: its calls go through peers; daemons remember who asked for a program's tokens.

--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -130,7 +130,8 @@
         if missing == 0 {
             return Ok(());
         }
-        let total = self.partitions.total_taken(need.program);
+        let unrecorded = self.unrecorded(need).map_or(0, |(_, tokens)| tokens);
+        let total = self.partitions.total_taken(need.program) + unrecorded;
         if total + missing > allowance::limit(need.budget, need.most) {
             return self.gather(account, need, missing).await;
         }
@@ -148,7 +149,8 @@
     ) -> Result<(), StoreFailure> {
         let id = self.next_id();
         self.partitions.take(need.program, &id, tokens).await?;
-        let total = self.partitions.total_taken(need.program);
+        let unrecorded = self.unrecorded(need).map_or(0, |(_, tokens)| tokens);
+        let total = self.partitions.total_taken(need.program) + unrecorded;
         if total <= allowance::limit(need.budget, need.most) {
             account.allowance.lock().add(tokens);
             return Ok(());
@@ -157,6 +159,15 @@
         self.partitions.take(need.program, &id, 0).await
     }
 
+    /// Another daemon that has asked for a program's tokens and may have granted
+    /// itself some without a record, and how many at most.
+    fn unrecorded(&self, need: Need<'_>) -> Option<(String, u64)> {
+        let by = self.asked.lock().get(need.program).cloned()?;
+        let is_recorded = self.partitions.takers(need.program).contains_key(&by);
+        let most = provisional_limit(need.budget, need.most);
+        (!is_recorded).then_some((by, most))
+    }
+
     /// Asks the daemons that took tokens for unused ones.
     async fn gather(
         &self,
@@ -171,7 +182,9 @@
             unknown: 0,
         };
         let mut gathered = 0;
-        for (taker, taken) in self.partitions.takers(need.program) {
+        let mut takers = self.partitions.takers(need.program);
+        takers.extend(self.unrecorded(need));
+        for (taker, taken) in takers {
             if taker == self.peers.own.incarnation || taken == 0 {
                 continue;
             }
@@ -246,7 +259,7 @@
         if gathered >= missing {
             return Ok(());
         }
-        let limit = allowance::limit(need.budget, need.most) / PROVISIONAL_DIVISOR;
+        let limit = provisional_limit(need.budget, need.most);
         let held = account.allowance.lock().taken;
         if found_elsewhere || held + missing > limit {
             return Err(failure.into());
@@ -299,3 +312,8 @@
         }
     }
 }
+
+/// Tokens that one daemon may grant a new program without the store.
+fn provisional_limit(budget: u64, most: u64) -> u64 {
+    allowance::limit(budget, most) / PROVISIONAL_DIVISOR
+}
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod ingress;
 pub mod keeper;
 pub mod ledger;
+pub mod members;
 pub mod partitions;
 pub mod peer_service;
 pub mod peers;
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -40,16 +40,17 @@
         return Response::new(400);
     };
     // Answers are made of numbers, texts and bytes, which always encode.
-    let tell = rmp_serde::to_vec(&answer(&service, ask)).expect("answers encode");
+    let tell = rmp_serde::to_vec(&answer(&service, ask).await).expect("answers encode");
     let mut res = Response::new(200);
     res.set_body(tell);
     res
 }
 
-fn answer(service: &Service, ask: Ask) -> Tell {
+async fn answer(service: &Service, ask: Ask) -> Tell {
     match ask {
         Ask::Release { program, want, by } => service.ledger.release(&program, want, &by),
         Ask::Find(ids) => Tell::Found(service.partitions.in_memory(&ids)),
+        Ask::Call { path, body } => Tell::Called(service.store.call_for_peer(path, body).await),
         Ask::Keep(id, turn) => {
             let turn = Arc::new(turn);
             service.partitions.keep_copy(id.clone(), Arc::clone(&turn));
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -9,19 +9,14 @@
     history::Turn,
 };
 use kingcupspan_core::id::WallMs;
-use kingcupspan_platform::store::{self, Partition, Record};
 use parking_lot::RwLock;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::Clock,
     edge::client::{Client, Outgoing, Patience, SendError},
-    gateway::store::{Read, Store, StoreFailure},
 };
 
-/// Pause between reads of the list of daemons.
-const POLL_PAUSE: Duration = Duration::from_millis(1_500);
-
 /// How long a peer may take to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -68,6 +63,15 @@
 
     /// Send the turns that are in memory.
     Find(Vec<RequestId>),
+
+    /// Make a call to the store that the asker cannot reach.
+    Call {
+        /// Path and query.
+        path: String,
+
+        /// Records to append; none for a read.
+        body: Option<Vec<u8>>,
+    },
 }
 
 /// A peer's answer.
@@ -90,6 +94,10 @@
 
     /// To [`Ask::Find`].
     Found(Vec<(RequestId, Turn)>),
+
+    /// To [`Ask::Call`]: the store's status and answer; none if the peer cannot
+    /// reach the store either.
+    Called(Option<(u16, Vec<u8>)>),
 }
 
 /// Why a peer gave no answer.
@@ -112,7 +120,6 @@
     clock: Clock,
     client: Client,
     listed: RwLock<HashMap<String, Peer>>,
-    topic: String,
 }
 
 impl Peers {
@@ -123,7 +130,6 @@
             clock,
             client: Client::default(),
             listed: RwLock::default(),
-            topic: store::own_topic("daemons"),
         }
     }
 
@@ -189,77 +195,13 @@
         told
     }
 
-    fn partition(&self) -> Partition<'_> {
-        Partition::own(&self.topic, 0)
+    /// Notes a daemon.
+    pub fn insert(&self, peer: Peer) {
+        self.listed.write().insert(peer.vm.clone(), peer);
     }
 
-    fn apply(&self, record: &Record) {
-        let Some(value) = &record.value else {
-            self.listed.write().remove(&record.key);
-            return;
-        };
-        match rmp_serde::from_slice::<Peer>(value) {
-            Ok(peer) => drop(self.listed.write().insert(record.key.clone(), peer)),
-            Err(e) => {
-                log::error!(key = record.key.as_str(), error = e.to_string().as_str(); "daemon skipped");
-            }
-        }
-    }
-}
-
-/// Takes this daemon out of the list.
-pub async fn leave(store: &Store, peers: &Peers) {
-    let record = Record {
-        key: peers.own.vm.clone(),
-        value: None,
-    };
-    if let Err(e) = store.append(peers.partition(), &[record]).await {
-        log::warn!(error = e.to_string().as_str(); "still listed as a daemon");
-    }
-}
-
-/// Lists this daemon and follows the others until the process ends.
-pub async fn follow(store: Arc<Store>, peers: Arc<Peers>) {
-    let own = Record {
-        key: peers.own.vm.clone(),
-        // A listing is made of texts, which always encode.
-        value: Some(rmp_serde::to_vec(&peers.own).expect("listings encode")),
-    };
-    while let Err(e) = store
-        .append(peers.partition(), std::slice::from_ref(&own))
-        .await
-    {
-        log::warn!(error = e.to_string().as_str(); "not listed as a daemon yet");
-        task::sleep(POLL_PAUSE).await;
-    }
-    let mut end = None;
-    loop {
-        match advance(&store, &peers, end).await {
-            Ok(next) => end = next,
-            Err(e) => log::warn!(error = e.to_string().as_str(); "cannot follow the daemons"),
-        }
-        task::sleep(POLL_PAUSE).await;
-    }
-}
-
-async fn advance(
-    store: &Store,
-    peers: &Peers,
-    end: Option<u64>,
-) -> Result<Option<u64>, StoreFailure> {
-    let Some(offset) = end else {
-        let newest = store.newest(peers.partition()).await?;
-        newest.records.iter().for_each(|r| peers.apply(r));
-        return Ok(Some(newest.end));
-    };
-    match store
-        .read(peers.partition(), offset, Duration::ZERO)
-        .await?
-    {
-        Read::Trimmed => Ok(None),
-        Read::Batch(batch) => {
-            batch.records.iter().for_each(|r| peers.apply(r));
-            Ok(Some(offset + batch.records.len() as u64))
-        }
+    /// Forgets a daemon that has left.
+    pub fn remove(&self, vm: &str) {
+        self.listed.write().remove(vm);
     }
 }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -19,9 +19,10 @@
         endpoints::{self, Endpoints},
         ingress,
         ledger::Ledger,
+        members::Members,
         partitions::Partitions,
         peer_service,
-        peers::{self, Peer, Peers},
+        peers::{Peer, Peers},
         serve::Service,
         stop::Stop,
         store::Store,
@@ -57,12 +58,6 @@
 /// Assembles what serves requests.
 pub fn assemble(settings: &Settings, incarnation: u64) -> Arc<Service> {
     let clock = Clock::default();
-    let store = Arc::new(Store::new(settings.store.addr));
-    let configuration = Arc::new(Current::default());
-    let endpoints = Arc::new(Endpoints::new(clock));
-    let cache_bytes = (settings.memory_bytes / CACHE_SHARE) as usize;
-    let partitions = Partitions::new(Arc::clone(&store), settings.store.partitions, cache_bytes);
-    let partitions = Arc::new(partitions);
     let own = Peer {
         vm: settings.vm.clone(),
         incarnation: format!("{}/{incarnation:016x}", settings.vm),
@@ -71,6 +66,13 @@
         started: clock.wall(),
     };
     let peers = Arc::new(Peers::new(own, clock));
+    let store = Arc::new(Store::new(settings.store.addr, Arc::clone(&peers)));
+    let members = Arc::new(Members::new(Arc::clone(&store), Arc::clone(&peers)));
+    let configuration = Arc::new(Current::default());
+    let endpoints = Arc::new(Endpoints::new(clock));
+    let cache_bytes = (settings.memory_bytes / CACHE_SHARE) as usize;
+    let partitions = Partitions::new(Arc::clone(&store), settings.store.partitions, cache_bytes);
+    let partitions = Arc::new(partitions);
     task::spawn(configuration::follow(
         Arc::clone(&store),
         Arc::clone(&configuration),
@@ -79,13 +81,15 @@
         Arc::clone(&store),
         Arc::clone(&endpoints),
     ));
-    task::spawn(peers::follow(Arc::clone(&store), Arc::clone(&peers)));
+    let following = Arc::clone(&members);
+    task::spawn(async move { following.follow().await });
     Arc::new(Service {
         configuration,
         endpoints,
         ledger: Arc::new(Ledger::new(Arc::clone(&partitions), Arc::clone(&peers))),
         peers,
         store,
+        members,
         partitions,
         upstream: Arc::default(),
         domain: settings.domain.clone(),
@@ -120,7 +124,7 @@
     let _ = stopped.recv().await;
     log::info!("stopping");
     service.stop.run(grace).await;
-    peers::leave(&service.store, &service.peers).await;
+    service.members.leave().await;
     log::info!(under_way = service.stop.under_way(); "stopped");
 }
 
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -28,6 +28,7 @@
         exchange::{Exchange, Progress},
         keeper,
         ledger::{Ledger, LedgerError, Need},
+        members::Members,
         partitions::Partitions,
         peers::Peers,
         recall::{self, RecallError},
@@ -74,6 +75,9 @@
     /// The platform's store.
     pub store: Arc<Store>,
 
+    /// The list of daemons.
+    pub members: Arc<Members>,
+
     /// Connections to endpoints.
     pub upstream: Arc<Upstream>,
 
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -1,11 +1,19 @@
 //! Calls to the platform's store.
 
-use std::{net, time::Duration};
+use std::{
+    net,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use http_types::Method;
 use kingcupspan_platform::store::{self, Appended, Batch, Partition, Record, StoreError};
+use parking_lot::Mutex;
 
-use crate::edge::client::{Client, Outgoing, Patience, SendError};
+use crate::{
+    edge::client::{Client, Outgoing, Patience, SendError},
+    gateway::peers::{Ask, Peer, Peers, Tell},
+};
 
 /// How long a call may take; a slow store answers within a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -13,6 +21,12 @@
 /// How long a connection to the store may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Pause between calls that look whether the store answers again.
+const TRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Peers that are asked to make a call.
+const HELPERS: usize = 2;
+
 /// Largest answer that is read, in bytes.
 const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
 
@@ -27,6 +41,10 @@
     #[error("no answer of the store: {0}")]
     NoAnswer(#[from] SendError),
 
+    /// The store did not answer this daemon lately.
+    #[error("the store does not answer")]
+    Away,
+
     /// The answer cannot be read.
     #[error(transparent)]
     Malformed(#[from] StoreError),
@@ -52,18 +70,35 @@
     pub end: u64,
 }
 
-/// A client of the store.
+/// A client of the store. A daemon that does not reach the store asks peers to
+/// make its calls; all calls may be made twice without harm.
 pub struct Store {
     client: Client,
     addr: net::SocketAddr,
+    peers: Arc<Peers>,
+    away: Mutex<Option<Away>>,
+}
+
+/// Set while the store does not answer this daemon.
+struct Away {
+    last_try: Instant,
+}
+
+/// A call to the store.
+struct Call {
+    path: String,
+    body: Option<Vec<u8>>,
+    timeout: Duration,
 }
 
 impl Store {
     /// A client of the store at `addr`.
-    pub fn new(addr: net::SocketAddr) -> Self {
+    pub fn new(addr: net::SocketAddr, peers: Arc<Peers>) -> Self {
         Self {
             client: Client::default(),
             addr,
+            peers,
+            away: Mutex::default(),
         }
     }
 
@@ -73,10 +108,12 @@
         partition: Partition<'_>,
         records: &[Record],
     ) -> Result<Appended, StoreFailure> {
-        let body = store::encode_records(records);
-        let out = Outgoing::post(self.addr, partition.append_path(), body);
-        let body = self.call(out, CALL_TIMEOUT).await?;
-        Ok(store::decode_appended(&body)?)
+        let call = Call {
+            path: partition.append_path(),
+            body: Some(store::encode_records(records)),
+            timeout: CALL_TIMEOUT,
+        };
+        Ok(store::decode_appended(&self.call(call).await?)?)
     }
 
     /// Reads from `offset`, waiting up to `wait` for a record.
@@ -86,9 +123,12 @@
         offset: u64,
         wait: Duration,
     ) -> Result<Read, StoreFailure> {
-        let path = partition.read_path(offset, wait.as_millis() as u64);
-        let out = Outgoing::new(Method::Get, self.addr, path);
-        match self.call(out, CALL_TIMEOUT + wait).await {
+        let call = Call {
+            path: partition.read_path(offset, wait.as_millis() as u64),
+            body: None,
+            timeout: CALL_TIMEOUT + wait,
+        };
+        match self.call(call).await {
             Ok(body) => Ok(Read::Batch(store::decode_batch(&body)?)),
             Err(StoreFailure::Refused(410)) => Ok(Read::Trimmed),
             Err(e) => Err(e),
@@ -101,8 +141,12 @@
         let mut is_first = true;
         loop {
             let after = newest.records.last().map(|r| r.key.as_str());
-            let out = Outgoing::new(Method::Get, self.addr, partition.newest_path(after));
-            let body = match self.call(out, CALL_TIMEOUT).await {
+            let call = Call {
+                path: partition.newest_path(after),
+                body: None,
+                timeout: CALL_TIMEOUT,
+            };
+            let body = match self.call(call).await {
                 Err(StoreFailure::Refused(404)) => return Ok(newest),
                 body => body?,
             };
@@ -118,27 +162,129 @@
         }
     }
 
-    async fn call(&self, out: Outgoing, timeout: Duration) -> Result<Vec<u8>, StoreFailure> {
+    async fn call(&self, call: Call) -> Result<Vec<u8>, StoreFailure> {
+        let failure = match self.may_try() {
+            false => StoreFailure::Away,
+            true => match self.direct(&call).await {
+                Err(e) if e.is_outage() => e,
+                answered => return answered,
+            },
+        };
+        for peer in self.helpers() {
+            let ask = Ask::Call {
+                path: call.path.clone(),
+                body: call.body.clone(),
+            };
+            if let Ok(Tell::Called(Some((status, body)))) = self.peers.ask(&peer, &ask).await {
+                return checked(status, body);
+            }
+        }
+        Err(failure)
+    }
+
+    /// Makes a call for a peer; none if the store is not reached from here either.
+    pub async fn call_for_peer(
+        &self,
+        path: String,
+        body: Option<Vec<u8>>,
+    ) -> Option<(u16, Vec<u8>)> {
+        if !self.may_try() {
+            return None;
+        }
+        let call = Call {
+            path,
+            body,
+            timeout: CALL_TIMEOUT,
+        };
+        match self.direct(&call).await {
+            Ok(body) => Some((200, body)),
+            Err(StoreFailure::Refused(status)) => Some((status, Vec::new())),
+            Err(_) => None,
+        }
+    }
+
+    /// Peers that may reach the store, another choice each time.
+    fn helpers(&self) -> Vec<Peer> {
+        let mut peers = self.peers.all();
+        if !peers.is_empty() {
+            let first = rand::random_range(0..peers.len());
+            peers.rotate_left(first);
+        }
+        peers.truncate(HELPERS);
+        peers
+    }
+
+    /// Whether the store is asked directly: always while it answers, else now and then.
+    fn may_try(&self) -> bool {
+        let mut away = self.away.lock();
+        match &mut *away {
+            None => true,
+            Some(a) if a.last_try.elapsed() < TRY_PAUSE => false,
+            Some(a) => {
+                a.last_try = Instant::now();
+                true
+            }
+        }
+    }
+
+    async fn direct(&self, call: &Call) -> Result<Vec<u8>, StoreFailure> {
         let patience = Patience {
             connect: CONNECT_TIMEOUT,
-            head: timeout,
-            body: timeout,
+            head: call.timeout,
+            body: call.timeout,
+        };
+        let out = match &call.body {
+            Some(body) => Outgoing::post(self.addr, call.path.clone(), body.clone()),
+            None => Outgoing::new(Method::Get, self.addr, call.path.clone()),
         };
         let result = self.exchange(out.patience(patience)).await;
         if matches!(result, Err(StoreFailure::NoAnswer(_))) {
             // Other kept connections may be as dead as this one.
             self.client.forget(self.addr);
         }
+        self.note(result.as_ref().err().filter(|e| e.is_outage()));
         result
     }
 
+    fn note(&self, outage: Option<&StoreFailure>) {
+        let mut away = self.away.lock();
+        match (outage, away.is_some()) {
+            (Some(e), false) => {
+                log::warn!(error = e.to_string().as_str(); "store lost");
+                *away = Some(Away {
+                    last_try: Instant::now(),
+                });
+            }
+            (None, true) => {
+                log::info!("store regained");
+                *away = None;
+            }
+            _ => {}
+        }
+    }
+
     async fn exchange(&self, out: Outgoing) -> Result<Vec<u8>, StoreFailure> {
         let reply = self.client.send(out).await?;
         let status = reply.status;
         let body = reply.bytes(ANSWER_MAX_BYTES).await?;
-        match status {
-            200 => Ok(body),
-            status => Err(StoreFailure::Refused(status)),
+        checked(status, body)
+    }
+}
+
+impl StoreFailure {
+    /// Whether the store could not be used at all.
+    fn is_outage(&self) -> bool {
+        match self {
+            Self::Refused(status) => matches!(status, 429 | 503),
+            Self::NoAnswer(_) | Self::Away => true,
+            Self::Malformed(_) => false,
         }
     }
 }
+
+fn checked(status: u16, body: Vec<u8>) -> Result<Vec<u8>, StoreFailure> {
+    match status {
+        200 => Ok(body),
+        status => Err(StoreFailure::Refused(status)),
+    }
+}
