Grant tokens without the store only with a majority of daemons

Change: a grant needs answers of most listed daemons, none of which reaches the store or knows the program.

--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -68,6 +68,31 @@
     }
 }
 
+/// What the other daemons say of a program while the store is away.
+#[derive(Debug, Default)]
+struct Survey {
+    answered: usize,
+    gathered: u64,
+    may_be_known: bool,
+}
+
+impl Survey {
+    fn count(&mut self, told: Option<Tell>) {
+        let Some(Tell::Released {
+            tokens,
+            holds,
+            asked_before,
+            reaches_store,
+        }) = told
+        else {
+            return;
+        };
+        self.answered += 1;
+        self.gathered += tokens;
+        self.may_be_known |= holds.is_some() || asked_before.is_some() || reaches_store;
+    }
+}
+
 /// A turn that asks for tokens.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
@@ -109,7 +134,12 @@
                         used: 0,
                     });
                 }
-                Step::Take(_) | Step::Short(_) => self.obtain(&account, need).await?,
+                Step::Take(_) | Step::Short(_) => match self.obtain(&account, need).await {
+                    Err(LedgerError::Unknown(_)) if Instant::now() + ASK_PAUSE < need.until => {
+                        task::sleep(ASK_PAUSE).await;
+                    }
+                    obtained => obtained?,
+                },
             }
         }
     }
@@ -228,8 +258,9 @@
         }
     }
 
-    /// While the store is away, a program that no daemon in reach knows is new:
-    /// it gets a part of its budget, to be recorded when the store is back.
+    /// While the store is away, a program that no daemon knows is new: it gets a
+    /// part of its budget, to be recorded when the store is back. A majority of
+    /// the daemons has to agree, so that no two grant the same program.
     async fn do_without_store(
         &self,
         account: &Account,
@@ -237,35 +268,29 @@
         missing: u64,
         failure: StoreFailure,
     ) -> Result<(), LedgerError> {
-        let is_known = self.partitions.knows_takings(need.program);
-        let mut found_elsewhere = is_known;
-        let mut gathered = 0;
-        let told = self
-            .peers
-            .ask_all(self.peers.all(), &self.ask(need.program, missing))
-            .await;
-        for (_, told) in told {
-            if let Ok(Tell::Released {
-                tokens,
-                holds,
-                asked_before,
-            }) = told
-            {
-                gathered += tokens;
-                found_elsewhere |= holds.is_some() || asked_before.is_some();
-            }
+        let peers = self.peers.all();
+        let daemons = peers.len() + 1;
+        let mut survey = Survey {
+            answered: 1,
+            may_be_known: self.partitions.knows_takings(need.program),
+            ..Survey::default()
+        };
+        let ask = self.ask(need.program, missing);
+        for (_, told) in self.peers.ask_all(peers, &ask).await {
+            survey.count(told.ok());
         }
-        account.allowance.lock().add(gathered);
-        if gathered >= missing {
+        account.allowance.lock().add(survey.gathered);
+        if survey.gathered >= missing {
             return Ok(());
         }
         let limit = provisional_limit(need.budget, need.most);
         let held = account.allowance.lock().taken;
-        if found_elsewhere || held + missing > limit {
+        let is_majority = survey.answered * 2 > daemons;
+        if survey.may_be_known || !is_majority || held + missing > limit {
             return Err(failure.into());
         }
         account.allowance.lock().add(missing);
-        log::info!(program = &*need.program.0, tokens = missing; "tokens granted without the store");
+        log::info!(program = &*need.program.0, tokens = missing, answered = survey.answered, daemons; "tokens granted without the store");
         self.record_later(need.program, missing);
         Ok(())
     }
@@ -300,6 +325,7 @@
             tokens,
             holds: holds.filter(|h| h.taken + tokens > 0),
             asked_before: (first != by).then(|| first.clone()),
+            reaches_store: self.partitions.reaches_store(),
         }
     }
 
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -129,6 +129,11 @@
         self.takings.lock().takers(program)
     }
 
+    /// Whether the store answers this daemon.
+    pub fn reaches_store(&self) -> bool {
+        self.store.answers()
+    }
+
     /// Keeps a turn in memory only, for a daemon that cannot reach the store.
     pub fn keep_copy(&self, id: RequestId, turn: Arc<Turn>) {
         self.turns.lock().insert(id, turn);
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -87,6 +87,9 @@
 
         /// Another incarnation that asked for the same program before.
         asked_before: Option<String>,
+
+        /// Whether the store answers the peer.
+        reaches_store: bool,
     },
 
     /// To [`Ask::Keep`].
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -214,6 +214,11 @@
         peers
     }
 
+    /// Whether the store answered the last call.
+    pub fn answers(&self) -> bool {
+        self.away.lock().is_none()
+    }
+
     /// Whether the store is asked directly: always while it answers, else now and then.
     fn may_try(&self) -> bool {
         let mut away = self.away.lock();
