Serve on within a failure domain that is cut off

Change: TCP user timeout and keepalive on connections to endpoints, peers and the store; endpoints that failed are avoided until a probe connects; a failure domain that is alone grants half of what is left of a budget, and the others leave it that half.

--- a/kingcupspan/src/edge/client.rs
+++ b/kingcupspan/src/edge/client.rs
@@ -5,6 +5,8 @@
 use async_std::{future, net::TcpStream};
 use futures_lite::AsyncReadExt;
 
+use crate::edge::tcp;
+
 /// How long an unused connection is kept.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
@@ -209,8 +211,9 @@
         Ok(Err(e)) => return Err(SendError::NotSent(addr, e.to_string())),
         Ok(Ok(stream)) => stream,
     };
-    // Without the option requests are only later.
-    let _ = stream.set_nodelay(true);
+    if let Err(e) = tcp::tune(&stream) {
+        log::warn!(error = e.to_string().as_str(); "connection without its options");
+    }
     Ok(stream)
 }
 
--- a/kingcupspan/src/edge/mod.rs
+++ b/kingcupspan/src/edge/mod.rs
@@ -7,3 +7,4 @@
 pub mod platform;
 pub mod problem;
 pub mod server;
+pub mod tcp;
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -129,9 +129,9 @@
         self.takings.lock().takers(program)
     }
 
-    /// Whether the store answers this daemon.
-    pub fn reaches_store(&self) -> bool {
-        self.store.answers()
+    /// How long the store has not answered this daemon.
+    pub fn store_away_for(&self) -> Option<Duration> {
+        self.store.away_for()
     }
 
     /// Keeps a turn in memory only, for a daemon that cannot reach the store.
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -48,7 +48,17 @@
 
 async fn answer(service: &Service, ask: Ask) -> Tell {
     match ask {
-        Ask::Release { program, want, by } => service.ledger.release(&program, want, &by),
+        Ask::Hello => Tell::Noted,
+        Ask::Release {
+            program,
+            want,
+            by,
+            claim,
+        } => service.ledger.release(&program, want, by, claim),
+        Ask::Recorded { program, by } => {
+            service.ledger.recorded(&program, &by);
+            Tell::Noted
+        }
         Ask::Find(ids) => Tell::Found(service.partitions.in_memory(&ids)),
         Ask::Call { path, body } => Tell::Called(service.store.call_for_peer(path, body).await),
         Ask::Keep(id, turn) => {
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -1,6 +1,12 @@
 //! The other daemons: who they are and what they are asked.
 
-use std::{collections::HashMap, net, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net,
+    sync::Arc,
+    time::Duration,
+    time::Instant,
+};
 
 use async_std::task;
 use kingcupspan_core::gateway::{
@@ -9,7 +15,7 @@
     history::Turn,
 };
 use kingcupspan_core::id::WallMs;
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -20,6 +26,15 @@
 /// How long a peer may take to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How long a peer that did not answer is not asked.
+const SILENT_FOR: Duration = Duration::from_millis(400);
+
+/// Longest silence of a failure domain before a daemon of it is asked for a sign.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Daemons of a silent failure domain that are asked for a sign.
+const GREETED_MAX: usize = 3;
+
 /// Largest answer of a peer, in bytes.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -45,8 +60,10 @@
 /// A question to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Ask {
-    /// Hand over unused tokens of a program; a peer that does not know the
-    /// program remembers who asked.
+    /// Give a sign.
+    Hello,
+
+    /// Hand over unused tokens of a program.
     Release {
         /// The program.
         program: ProgramKey,
@@ -56,6 +73,18 @@
 
         /// The incarnation that asks.
         by: String,
+
+        /// Tokens that the asker may grant itself without a record, if no other may.
+        claim: Option<u64>,
+    },
+
+    /// An incarnation has recorded what it granted itself of a program's tokens.
+    Recorded {
+        /// The program.
+        program: ProgramKey,
+
+        /// The incarnation.
+        by: String,
     },
 
     /// Keep a copy of a turn until the store has it.
@@ -77,6 +106,9 @@
 /// A peer's answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Tell {
+    /// To [`Ask::Hello`] and [`Ask::Recorded`].
+    Noted,
+
     /// To [`Ask::Release`].
     Released {
         /// Tokens handed over.
@@ -85,8 +117,8 @@
         /// What the peer holds after that; none if it does not know the program.
         holds: Option<Allowance>,
 
-        /// Another incarnation that asked for the same program before.
-        asked_before: Option<String>,
+        /// Whether another daemon may grant itself tokens of this program.
+        is_claimed: bool,
 
         /// Whether the store answers the peer.
         reaches_store: bool,
@@ -110,6 +142,10 @@
     #[error(transparent)]
     Send(#[from] SendError),
 
+    /// It did not answer a moment ago.
+    #[error("silent lately")]
+    Silent,
+
     /// It answered with something else.
     #[error("unreadable answer")]
     Malformed,
@@ -123,6 +159,8 @@
     clock: Clock,
     client: Client,
     listed: RwLock<HashMap<String, Peer>>,
+    silent: Mutex<HashMap<String, Instant>>,
+    heard: Mutex<HashMap<String, Instant>>,
 }
 
 impl Peers {
@@ -133,17 +171,87 @@
             clock,
             client: Client::default(),
             listed: RwLock::default(),
+            silent: Mutex::default(),
+            heard: Mutex::default(),
         }
     }
 
-    /// The other daemons, those of other failure domains first.
+    /// The other daemons: those that answered last time first, then those of
+    /// other failure domains.
     pub fn all(&self) -> Vec<Peer> {
         let mut all: Vec<Peer> = self.listed.read().values().cloned().collect();
         all.retain(|p| p.vm != self.own.vm);
-        all.sort_by_key(|p| (p.domain == self.own.domain, p.vm.clone()));
+        let silent = self.silent.lock();
+        all.sort_by_key(|p| {
+            let is_near = p.domain == self.own.domain;
+            (silent.contains_key(&p.vm), is_near, p.vm.clone())
+        });
         all
     }
 
+    /// Number of failure domains, this one included.
+    pub fn domains(&self) -> usize {
+        let listed = self.listed.read();
+        let mut domains: HashSet<&str> = listed.values().map(|p| p.domain.as_str()).collect();
+        domains.insert(&self.own.domain);
+        domains.len()
+    }
+
+    /// Other failure domains of which no daemon has answered for `span`.
+    pub fn silent_domains(&self, span: Duration) -> Vec<String> {
+        let heard = self.heard.lock();
+        let mut domains: Vec<String> = self.all().into_iter().map(|p| p.domain).collect();
+        domains.sort();
+        domains.dedup();
+        domains.retain(|d| *d != self.own.domain);
+        domains.retain(|d| heard.get(d).is_none_or(|at| at.elapsed() > span));
+        domains
+    }
+
+    /// Keeps in touch with every other failure domain until the process ends.
+    pub async fn watch(self: Arc<Self>) {
+        loop {
+            task::sleep(WATCH_PAUSE).await;
+            for domain in self.silent_domains(WATCH_PAUSE) {
+                task::spawn(Arc::clone(&self).greet(domain));
+            }
+        }
+    }
+
+    /// Asks daemons of a failure domain until one answers.
+    async fn greet(self: Arc<Self>, domain: String) {
+        let mut peers = self.all();
+        peers.retain(|p| p.domain == domain);
+        if !peers.is_empty() {
+            let first = rand::random_range(0..peers.len());
+            peers.rotate_left(first);
+        }
+        for peer in peers.iter().take(GREETED_MAX) {
+            if self.ask(peer, &Ask::Hello).await.is_ok() {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, peer: &Peer, has_answered: bool) {
+        if has_answered {
+            self.silent.lock().remove(&peer.vm);
+            self.heard
+                .lock()
+                .insert(peer.domain.clone(), Instant::now());
+            return;
+        }
+        self.silent.lock().insert(peer.vm.clone(), Instant::now());
+    }
+
+    /// Whether a peer did not answer lately and is not asked again yet.
+    fn is_silent(&self, peer: &Peer) -> bool {
+        let silent = self.silent.lock();
+        silent
+            .get(&peer.vm)
+            .is_some_and(|at| at.elapsed() < SILENT_FOR)
+    }
+
     /// The daemon that runs as an incarnation; none if that one has ended.
     pub fn by_incarnation(&self, incarnation: &str) -> Option<Peer> {
         let listed = self.listed.read();
@@ -162,6 +270,15 @@
 
     /// Asks a peer.
     pub async fn ask(&self, peer: &Peer, ask: &Ask) -> Result<Tell, PeerError> {
+        if self.is_silent(peer) {
+            return Err(PeerError::Silent);
+        }
+        let told = self.exchange(peer, ask).await;
+        self.note(peer, told.is_ok());
+        told
+    }
+
+    async fn exchange(&self, peer: &Peer, ask: &Ask) -> Result<Tell, PeerError> {
         // Messages are made of numbers, texts and bytes, which always encode.
         let body = rmp_serde::to_vec(ask).expect("messages encode");
         let out = Outgoing::post(peer.addr, "/ask", body).patience(Patience::all(TIMEOUT));
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -81,6 +81,7 @@
         Arc::clone(&store),
         Arc::clone(&endpoints),
     ));
+    task::spawn(Arc::clone(&peers).watch());
     let following = Arc::clone(&members);
     task::spawn(async move { following.follow().await });
     Arc::new(Service {
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -81,6 +81,7 @@
 
 /// Set while the store does not answer this daemon.
 struct Away {
+    since: Instant,
     last_try: Instant,
 }
 
@@ -214,9 +215,9 @@
         peers
     }
 
-    /// Whether the store answered the last call.
-    pub fn answers(&self) -> bool {
-        self.away.lock().is_none()
+    /// How long the store has not answered this daemon.
+    pub fn away_for(&self) -> Option<Duration> {
+        self.away.lock().as_ref().map(|a| a.since.elapsed())
     }
 
     /// Whether the store is asked directly: always while it answers, else now and then.
@@ -257,6 +258,7 @@
             (Some(e), false) => {
                 log::warn!(error = e.to_string().as_str(); "store lost");
                 *away = Some(Away {
+                    since: Instant::now(),
                     last_try: Instant::now(),
                 });
             }
--- a/kingcupspan/src/gateway/upstream.rs
+++ b/kingcupspan/src/gateway/upstream.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use async_std::{future, net::TcpStream};
+use async_std::{future, net::TcpStream, task};
 use kingcupspan_core::gateway::{
     call::RequestId,
     endpoint::{Endpoint, InstanceId},
@@ -16,10 +16,13 @@
 use kingcupspan_platform::headers::{self, AnswerInfo, Lookup};
 use parking_lot::Mutex;
 
-use crate::http::{
-    conn::{Conn, ReadError},
-    framing::Framing,
-    head::{AnswerHead, Headers},
+use crate::{
+    edge::tcp,
+    http::{
+        conn::{Conn, ReadError},
+        framing::Framing,
+        head::{AnswerHead, Headers},
+    },
 };
 
 /// How long a connection may take.
@@ -34,8 +37,11 @@
 /// How long an endpoint's word on its load counts.
 const LOAD_TOLD_FOR: Duration = Duration::from_millis(600);
 
-/// How long an endpoint is avoided after a failed connection.
-const FAILING_FOR: Duration = Duration::from_millis(1_000);
+/// Pause between attempts to connect to an endpoint that failed.
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Attempts to connect to an endpoint that failed.
+const PROBES_MAX: usize = 100;
 
 /// Largest body of a late answer to another request that is passed over, in bytes.
 const FOREIGN_MAX_BYTES: usize = 1024 * 1024;
@@ -83,7 +89,7 @@
     idle: Vec<Idle>,
     own: u32,
     told: Option<(u32, Instant)>,
-    failing_until: Option<Instant>,
+    is_suspect: bool,
 }
 
 /// Connections and load of all endpoints.
@@ -101,7 +107,7 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         if let Some(site) = self.upstream.sites.lock().get_mut(&self.id) {
-            site.own -= 1;
+            site.own = site.own.saturating_sub(1);
         }
     }
 }
@@ -148,7 +154,7 @@
         let now = Instant::now();
         self.sites.lock().retain(|_, site| {
             site.idle.retain(|i| i.until > now);
-            site.own > 0 || !site.idle.is_empty()
+            site.own > 0 || site.is_suspect || !site.idle.is_empty()
         });
     }
 
@@ -164,12 +170,17 @@
         };
         let left = out.deadline.saturating_duration_since(Instant::now());
         let request = encode(endpoint, out, left);
-        if let Err(e) = conn.write(&request).await {
-            return Err(SendError::Lost(e.to_string()));
-        }
-        let head = answer_head(&mut conn, out)
-            .await
-            .map_err(|e| SendError::Lost(e.to_string()))?;
+        let answered = async {
+            conn.write(&request).await?;
+            answer_head(&mut conn, out).await
+        };
+        let head = match answered.await {
+            Ok(head) => head,
+            Err(e) => {
+                self.suspect(endpoint);
+                return Err(SendError::Lost(e.to_string()));
+            }
+        };
         let info = headers::answer_info(&head.headers, head.status);
         self.note(&endpoint.id, &info);
         Ok(Reply {
@@ -190,17 +201,43 @@
         }
     }
 
-    async fn connect(&self, endpoint: &Endpoint) -> Result<Conn, SendError> {
+    async fn connect(self: &Arc<Self>, endpoint: &Endpoint) -> Result<Conn, SendError> {
         let connecting = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr));
         let failure = match connecting.await {
-            Ok(Ok(stream)) => return Ok(Conn::new(stream)),
+            Ok(Ok(stream)) => return Ok(open(stream)),
             Ok(Err(e)) => e,
             Err(_) => io::ErrorKind::TimedOut.into(),
         };
+        self.suspect(endpoint);
+        Err(SendError::NotSent(failure.to_string()))
+    }
+
+    /// Avoids an endpoint until a connection to it stands again.
+    fn suspect(self: &Arc<Self>, endpoint: &Endpoint) {
         let mut sites = self.sites.lock();
         let site = sites.entry(endpoint.id.clone()).or_default();
-        site.failing_until = Some(Instant::now() + FAILING_FOR);
-        Err(SendError::NotSent(failure.to_string()))
+        site.idle.clear();
+        if !site.is_suspect {
+            site.is_suspect = true;
+            task::spawn(Arc::clone(self).probe(endpoint.clone()));
+        }
+    }
+
+    async fn probe(self: Arc<Self>, endpoint: Endpoint) {
+        for _ in 0..PROBES_MAX {
+            let connecting = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr));
+            let stream = connecting.await;
+            if let Some(site) = self.sites.lock().get_mut(&endpoint.id)
+                && let Ok(Ok(stream)) = stream
+            {
+                site.is_suspect = false;
+                site.keep(open(stream), KEEP_DEFAULT);
+                return;
+            }
+            task::sleep(PROBE_PAUSE).await;
+        }
+        // Requests try it again, if it is still listed.
+        self.sites.lock().remove(&endpoint.id);
     }
 
     fn note(&self, id: &InstanceId, info: &AnswerInfo) {
@@ -208,7 +245,6 @@
         let Some(site) = sites.get_mut(id) else {
             return;
         };
-        site.failing_until = None;
         if let Some(load) = info.load {
             site.told = Some((load, Instant::now()));
         }
@@ -217,24 +253,35 @@
     fn keep(&self, id: &InstanceId, conn: Conn, headers: &Headers) {
         let told = headers.get("keep-alive").and_then(keep_alive_timeout);
         let keep = told.map_or(KEEP_DEFAULT, |t| t.saturating_sub(KEEP_MARGIN));
-        let idle = Idle {
-            conn,
-            until: Instant::now() + keep,
-        };
         if let Some(site) = self.sites.lock().get_mut(id) {
-            site.idle.push(idle);
+            site.keep(conn, keep);
         }
     }
 }
 
+/// A new connection.
+fn open(stream: TcpStream) -> Conn {
+    if let Err(e) = tcp::tune(&stream) {
+        log::warn!(error = e.to_string().as_str(); "connection without its options");
+    }
+    Conn::new(stream)
+}
+
 impl Site {
+    fn keep(&mut self, conn: Conn, keep: Duration) {
+        self.idle.push(Idle {
+            conn,
+            until: Instant::now() + keep,
+        });
+    }
+
     fn load(&self, now: Instant) -> Load {
         let is_fresh = |at: &Instant| now.duration_since(*at) < LOAD_TOLD_FOR;
         let told = self.told.filter(|(_, at)| is_fresh(at));
         Load {
             own: self.own,
             told: told.map(|(load, _)| load),
-            failing: self.failing_until.is_some_and(|until| now < until),
+            failing: self.is_suspect,
         }
     }
 }
--- a/kingcupspan_core/src/gateway/allowance.rs
+++ b/kingcupspan_core/src/gateway/allowance.rs
@@ -63,17 +63,17 @@
     budget + most
 }
 
-/// What a turn that asks for tokens has to do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
-    /// It may run; its most is reserved.
-    Run,
-
-    /// This many tokens must be taken first.
-    Take(u64),
+/// Most that all takings may come to while a failure domain is out of reach whose
+/// daemons had taken `by_silent`: the other half of the rest is left to it.
+pub fn limit_beside_cut(limit: u64, by_silent: u64) -> u64 {
+    (limit + by_silent.min(limit)) / 2
+}
 
-    /// This many tokens are missing and all that there are have been taken.
-    Short(u64),
+/// Most that daemons without the store may grant of a program of whose tokens
+/// they know `total` to be taken. They know at least their own takings, so that
+/// this and [`limit_beside_cut`] never come to more than `limit`.
+pub fn grant_without_store(limit: u64, total: u64) -> u64 {
+    limit.saturating_sub(total) / 2
 }
 
 /// What one daemon holds of one program's budget.
@@ -95,17 +95,13 @@
         self.taken.saturating_sub(self.used + self.reserved)
     }
 
-    /// Decides on a turn of at most `most` tokens of a program with `budget`,
-    /// of which all daemons have taken `total`.
-    pub fn step(&mut self, most: u64, budget: u64, total: u64) -> Step {
-        let Some(missing) = most.checked_sub(self.free()).filter(|m| *m > 0) else {
+    /// Reserves `most` tokens for a turn; false if there are not as many.
+    pub fn reserve(&mut self, most: u64) -> bool {
+        let is_enough = self.free() >= most;
+        if is_enough {
             self.reserved += most;
-            return Step::Run;
-        };
-        match total + missing <= limit(budget, most) {
-            true => Step::Take(missing),
-            false => Step::Short(missing),
         }
+        is_enough
     }
 
     /// Adds tokens of a valid taking or from another daemon.
