Bound grants without the store by fixed parts of a budget; close the door of a stopping daemon

Ruled out: shorter detection times (the search finds a violation at any delay). Change: recorded takings stay within half of a budget until every daemon has agreed to grant none without a record; one side of a cut grants a quarter at most, once. Nothing depends on time. A stopping daemon closes its listener with its idle connections.

--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -35,18 +35,23 @@
 /// Interim answer to a caller that waits for leave to send its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Serves callers until the task is cancelled.
+/// Accepts connections of callers until a planned stop no longer does.
 pub async fn serve(listener: TcpListener, service: Arc<Service>) {
     let mut incoming = listener.incoming();
-    while let Some(accepted) = incoming.next().await {
-        match accepted {
-            Ok(stream) => {
+    loop {
+        let closing = async {
+            service.stop.idle_closing().await;
+            None
+        };
+        match incoming.next().or(closing).await {
+            Some(Ok(stream)) => {
                 task::spawn(connection(Arc::clone(&service), stream));
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 log::warn!(error = e.to_string().as_str(); "cannot accept a connection");
                 task::sleep(ACCEPT_BACKOFF).await;
             }
+            None => return,
         }
     }
 }
--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -1,29 +1,29 @@
 //! Token budgets of the programs whose turns run through this daemon.
 
-use std::{collections::HashMap, sync::Arc, time::Duration, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::{sync::Mutex as AsyncMutex, task};
 use kingcupspan_core::gateway::{
     allowance::{self, Allowance, Holdings, TakingId, Verdict},
     call::ProgramKey,
 };
-use parking_lot::Mutex;
+use parking_lot::{MappedMutexGuard, Mutex, MutexGuard};
 
 use crate::gateway::{
     partitions::Partitions,
-    peers::{Ask, Peers, Tell},
+    peers::{Ask, Peer, Peers, Purpose, Tell},
     store::StoreFailure,
 };
 
 /// Pause before peers are asked again for tokens that turns under way may give back.
 const ASK_PAUSE: Duration = Duration::from_millis(40);
 
-/// Silence after which a failure domain may grant tokens on its own.
-const DOMAIN_SILENT_AFTER: Duration = Duration::from_millis(700);
-
-/// How long a failure domain must be alone before it grants tokens: longer than
-/// the others need to notice.
-const ALONE_FOR: Duration = Duration::from_millis(1_300);
+/// Silence after which a failure domain counts as cut off.
+const ALONE_FOR: Duration = Duration::from_millis(600);
 
 /// Why a turn gets no tokens.
 #[derive(Debug, thiserror::Error)]
@@ -45,12 +45,30 @@
 struct Account {
     allowance: Mutex<Allowance>,
     taking: AsyncMutex<()>,
+
+    /// Set once no daemon grants tokens without a record any more: tokens that
+    /// were granted so before.
+    unrecorded: Mutex<Option<u64>>,
 }
 
-/// A daemon's right to grant itself tokens without a record.
-struct Claim {
-    by: String,
-    up_to: u64,
+/// Who may grant tokens of a program without a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Right {
+    /// This incarnation of a daemon.
+    Of(String),
+
+    /// Nobody any more.
+    Nobody,
+}
+
+/// Tokens of a program that a daemon granted itself without the store.
+#[derive(Debug, Clone, Copy, Default)]
+struct Grant {
+    /// All of them.
+    ever: u64,
+
+    /// Those that the store has no record of yet.
+    unrecorded: u64,
 }
 
 /// All accounts of this daemon.
@@ -59,8 +77,8 @@
     peers: Arc<Peers>,
     next: Mutex<u64>,
     accounts: Mutex<HashMap<ProgramKey, Arc<Account>>>,
-    claims: Mutex<HashMap<ProgramKey, Claim>>,
-    unrecorded: Mutex<HashMap<ProgramKey, u64>>,
+    rights: Mutex<HashMap<ProgramKey, Right>>,
+    grants: Mutex<HashMap<ProgramKey, Grant>>,
 }
 
 /// Tokens reserved for one turn; what was not used goes back when it is dropped.
@@ -100,16 +118,19 @@
     answered: usize,
     answered_near: usize,
     gathered: u64,
-    is_taken: bool,
+    unrecorded: u64,
+    is_denied: bool,
+    holds: Allowance,
 }
 
 impl Survey {
     fn count(&mut self, is_near: bool, told: Option<Tell>) {
         let Some(Tell::Released {
             tokens,
-            is_claimed,
+            holds,
+            unrecorded,
+            is_denied,
             reaches_store,
-            ..
         }) = told
         else {
             return;
@@ -117,7 +138,10 @@
         self.answered += 1;
         self.answered_near += usize::from(is_near);
         self.gathered += tokens;
-        self.is_taken |= is_claimed || reaches_store;
+        self.unrecorded += unrecorded;
+        self.is_denied |= is_denied || reaches_store;
+        self.holds.used += holds.used;
+        self.holds.reserved += holds.reserved;
     }
 }
 
@@ -129,8 +153,8 @@
             peers,
             next: Mutex::default(),
             accounts: Mutex::default(),
-            claims: Mutex::default(),
-            unrecorded: Mutex::default(),
+            rights: Mutex::default(),
+            grants: Mutex::default(),
         }
     }
 
@@ -169,7 +193,7 @@
         if missing == 0 {
             return Ok(());
         }
-        if self.partitions.total_taken(need.program) + missing > self.limit(need) {
+        if self.partitions.total_taken(need.program) + missing > limit(account, need) {
             return self.gather(account, need, missing).await;
         }
         match self.take(account, need, missing).await {
@@ -178,35 +202,6 @@
         }
     }
 
-    /// Most that recorded takings may come to: what daemons without the store
-    /// may be granting is left out.
-    fn limit(&self, need: Need<'_>) -> u64 {
-        let limit = allowance::limit(need.budget, need.most);
-        let claims = self.claims.lock();
-        let others = |c: &&Claim| c.by != self.peers.own.incarnation;
-        let claimed = claims
-            .get(need.program)
-            .filter(others)
-            .map_or(0, |c| c.up_to);
-        let silent = self.peers.silent_domains(DOMAIN_SILENT_AFTER);
-        let shared = match silent.is_empty() {
-            true => limit,
-            false => {
-                let takers = self.partitions.takers(need.program);
-                let by_silent = takers
-                    .iter()
-                    .filter(|(taker, _)| {
-                        let peer = self.peers.by_incarnation(taker);
-                        peer.is_none_or(|p| silent.contains(&p.domain))
-                    })
-                    .map(|(_, tokens)| tokens)
-                    .sum();
-                allowance::limit_beside_cut(limit, by_silent)
-            }
-        };
-        shared.min(limit.saturating_sub(claimed))
-    }
-
     async fn take(
         &self,
         account: &Account,
@@ -215,7 +210,7 @@
     ) -> Result<(), StoreFailure> {
         let id = self.next_id();
         self.partitions.take(need.program, &id, tokens).await?;
-        if self.partitions.total_taken(need.program) <= self.limit(need) {
+        if self.partitions.total_taken(need.program) <= limit(account, need) {
             account.allowance.lock().add(tokens);
             return Ok(());
         }
@@ -223,43 +218,33 @@
         self.partitions.take(need.program, &id, 0).await
     }
 
-    /// Asks the daemons that took tokens for unused ones.
+    /// Asks the other daemons for unused tokens, and to grant none without a record.
     async fn gather(
         &self,
         account: &Account,
         need: Need<'_>,
         missing: u64,
     ) -> Result<(), LedgerError> {
-        let own = *account.allowance.lock();
-        let mut holdings = Holdings {
-            used: own.used,
-            reserved: own.reserved,
-            unknown: allowance::limit(need.budget, need.most) - self.limit(need),
-        };
-        let mut gathered = 0;
-        for (taker, taken) in self.partitions.takers(need.program) {
-            if taker == self.peers.own.incarnation || taken == 0 {
-                continue;
-            }
-            let Some(peer) = self.peers.by_incarnation(&taker) else {
-                holdings.used += taken;
-                continue;
-            };
-            let ask = self.ask(need.program, missing - gathered, None);
-            match self.peers.ask(&peer, &ask).await {
-                Ok(Tell::Released { tokens, holds, .. }) => {
-                    gathered += tokens;
-                    let holds = holds.unwrap_or_default();
-                    holdings.used += holds.used;
-                    holdings.reserved += holds.reserved;
-                }
-                _ => holdings.unknown += taken,
-            }
+        let peers = self.peers.all();
+        let others = peers.len();
+        let survey = self.survey(need, missing, Purpose::Record).await;
+        let own = self.granted(need.program).unrecorded;
+        if survey.answered == others && self.peers.is_listed() {
+            self.renounce(need.program);
+            *account.unrecorded.lock() = Some(survey.unrecorded + own);
         }
-        account.allowance.lock().add(gathered);
-        if gathered >= missing {
+        account.allowance.lock().add(survey.gathered);
+        let total = self.partitions.total_taken(need.program);
+        let is_room = total + missing <= limit(account, need);
+        if survey.gathered >= missing || is_room {
             return Ok(());
         }
+        let held = *account.allowance.lock();
+        let holdings = Holdings {
+            used: held.used + survey.holds.used + self.taken_by_ended(need.program),
+            reserved: held.reserved + survey.holds.reserved,
+            unknown: (others - survey.answered) as u64,
+        };
         if allowance::judge(need.budget, holdings) == Verdict::Spent {
             return Err(LedgerError::Spent(holdings));
         }
@@ -270,19 +255,34 @@
         Ok(())
     }
 
-    fn ask(&self, program: &ProgramKey, want: u64, claim: Option<u64>) -> Ask {
-        Ask::Release {
-            program: program.clone(),
-            want,
+    /// Tokens taken by daemons that have ended: nobody can tell what they used.
+    fn taken_by_ended(&self, program: &ProgramKey) -> u64 {
+        let takers = self.partitions.takers(program);
+        let is_own = |taker: &str| taker == self.peers.own.incarnation;
+        takers
+            .iter()
+            .filter(|(t, _)| !is_own(t) && self.peers.by_incarnation(t).is_none())
+            .map(|(_, tokens)| tokens)
+            .sum()
+    }
+
+    async fn survey(&self, need: Need<'_>, missing: u64, purpose: Purpose) -> Survey {
+        let ask = Ask::Release {
+            program: need.program.clone(),
+            want: missing,
             by: self.peers.own.incarnation.clone(),
-            claim,
+            purpose,
+        };
+        let mut survey = Survey::default();
+        for (peer, told) in self.peers.ask_all(self.peers.all(), &ask).await {
+            survey.count(peer.domain == self.peers.own.domain, told.ok());
         }
+        survey
     }
 
-    /// While the store is away a daemon grants itself half of what is left of a
-    /// program's tokens, to be recorded when the store is back. A majority of the
-    /// daemons has to agree, or all of a failure domain that is alone; the others
-    /// leave the other half untouched.
+    /// While the store is away a daemon grants itself a part of a program's
+    /// tokens, to be recorded when the store is back. A majority of the daemons
+    /// has to agree, or all of a failure domain that is alone.
     async fn do_without_store(
         self: &Arc<Self>,
         account: &Account,
@@ -290,31 +290,24 @@
         missing: u64,
         failure: StoreFailure,
     ) -> Result<(), LedgerError> {
-        let limit = allowance::limit(need.budget, need.most);
-        let total = self.partitions.total_taken(need.program);
-        let up_to = allowance::grant_without_store(limit, total);
-        if !self.claim(need.program, up_to) {
+        if !self.claim(need.program) {
             return Err(failure.into());
         }
         let peers = self.peers.all();
-        let near = |d: &str| d == self.peers.own.domain;
         let daemons = peers.len() + 1;
-        let daemons_near = peers.iter().filter(|p| near(&p.domain)).count();
-        let mut survey = Survey::default();
-        let ask = self.ask(need.program, missing, Some(up_to));
-        for (peer, told) in self.peers.ask_all(peers, &ask).await {
-            survey.count(near(&peer.domain), told.ok());
-        }
+        let is_near = |p: &&Peer| p.domain == self.peers.own.domain;
+        let daemons_near = peers.iter().filter(is_near).count();
+        let survey = self.survey(need, missing, Purpose::Grant).await;
         account.allowance.lock().add(survey.gathered);
         if survey.gathered >= missing {
             return Ok(());
         }
-        let is_majority = (survey.answered + 1) * 2 > daemons;
-        let is_alone = survey.answered == daemons_near
-            && survey.answered_near == daemons_near
-            && self.is_alone();
-        let granted = self.granted(need.program) + missing;
-        if survey.is_taken || !(is_majority || is_alone) || granted > up_to {
+        let is_majority = (survey.answered + 1) * 2 > daemons && self.peers.is_listed();
+        let is_alone = survey.answered_near == daemons_near && self.is_alone();
+        let granted = self.granted(need.program).ever + missing;
+        let limit = allowance::limit(need.budget, need.most);
+        let is_within = granted <= allowance::unrecorded_limit(limit);
+        if survey.is_denied || !(is_majority || is_alone) || !is_within {
             self.drop_unused_claim(need.program);
             return Err(failure.into());
         }
@@ -331,24 +324,35 @@
         away > ALONE_FOR && self.peers.silent_domains(ALONE_FOR).len() + 1 == all
     }
 
-    /// Claims the right to grant tokens of a program; false if another has it.
-    fn claim(&self, program: &ProgramKey, up_to: u64) -> bool {
-        let mut claims = self.claims.lock();
-        let claim = claims.entry(program.clone()).or_insert_with(|| Claim {
-            by: self.peers.own.incarnation.clone(),
-            up_to,
-        });
-        claim.by == self.peers.own.incarnation
+    /// Claims the right to grant tokens of a program; false if it may not.
+    fn claim(&self, program: &ProgramKey) -> bool {
+        let own = Right::Of(self.peers.own.incarnation.clone());
+        *self.right(program, own.clone()) == own
+    }
+
+    /// Grants no more tokens of a program without a record.
+    fn renounce(&self, program: &ProgramKey) {
+        self.rights.lock().insert(program.clone(), Right::Nobody);
     }
 
-    /// Tokens of a program that this daemon granted itself and has not recorded.
-    fn granted(&self, program: &ProgramKey) -> u64 {
-        self.unrecorded.lock().get(program).copied().unwrap_or(0)
+    /// Who may grant tokens of a program: `right` if nobody may so far.
+    fn right(&self, program: &ProgramKey, right: Right) -> MappedMutexGuard<'_, Right> {
+        MutexGuard::map(self.rights.lock(), |rights| {
+            rights.entry(program.clone()).or_insert(right)
+        })
+    }
+
+    /// What this daemon granted itself of a program.
+    fn granted(&self, program: &ProgramKey) -> Grant {
+        self.grants.lock().get(program).copied().unwrap_or_default()
     }
 
     /// Records granted tokens as soon as the store takes the record.
     fn record_later(self: &Arc<Self>, program: &ProgramKey, tokens: u64) {
-        *self.unrecorded.lock().entry(program.clone()).or_default() += tokens;
+        let mut grants = self.grants.lock();
+        let grant = grants.entry(program.clone()).or_default();
+        grant.ever += tokens;
+        grant.unrecorded += tokens;
         let ledger = Arc::clone(self);
         let (program, id) = (program.clone(), self.next_id());
         task::spawn(async move {
@@ -356,73 +360,64 @@
                 log::debug!(program = &*program.0, error = e.to_string().as_str(); "taking not recorded yet");
                 task::sleep(ASK_PAUSE * 5).await;
             }
-            ledger.note_recorded(program, tokens).await;
-        });
-    }
-
-    /// Gives up the claim once everything granted is recorded.
-    async fn note_recorded(&self, program: ProgramKey, tokens: u64) {
-        {
-            let mut unrecorded = self.unrecorded.lock();
-            let left = unrecorded.entry(program.clone()).or_default();
-            *left = left.saturating_sub(tokens);
-            if *left > 0 {
-                return;
+            if let Some(grant) = ledger.grants.lock().get_mut(&program) {
+                grant.unrecorded -= tokens;
             }
-            unrecorded.remove(&program);
-        }
-        let by = self.peers.own.incarnation.clone();
-        self.recorded(&program, &by);
-        let ask = Ask::Recorded { program, by };
-        self.peers.ask_all(self.peers.all(), &ask).await;
+        });
     }
 
     /// Gives up a claim that nothing was granted on.
     fn drop_unused_claim(self: &Arc<Self>, program: &ProgramKey) {
-        if self.granted(program) > 0 {
+        if self.granted(program).ever > 0 {
             return;
         }
-        let ledger = Arc::clone(self);
-        let program = program.clone();
-        task::spawn(async move { ledger.note_recorded(program, 0).await });
+        let by = self.peers.own.incarnation.clone();
+        self.unclaim(program, &by);
+        let ask = Ask::Unclaim {
+            program: program.clone(),
+            by,
+        };
+        let peers = Arc::clone(&self.peers);
+        task::spawn(async move { peers.ask_all(peers.all(), &ask).await });
     }
 
     /// Ends a daemon's claim.
-    pub fn recorded(&self, program: &ProgramKey, by: &str) {
-        let mut claims = self.claims.lock();
-        if claims.get(program).is_some_and(|c| c.by == by) {
-            claims.remove(program);
+    pub fn unclaim(&self, program: &ProgramKey, by: &str) {
+        let mut rights = self.rights.lock();
+        if rights.get(program) == Some(&Right::Of(by.to_owned())) {
+            rights.remove(program);
         }
     }
 
     /// Hands unused tokens to another daemon.
-    pub fn release(&self, program: &ProgramKey, want: u64, by: String, claim: Option<u64>) -> Tell {
+    pub fn release(&self, program: &ProgramKey, want: u64, by: String, purpose: Purpose) -> Tell {
         let account = self.accounts.lock().get(program).cloned();
         let (tokens, holds) = match account {
-            None => (0, None),
+            None => (0, Allowance::default()),
             Some(account) => {
                 let mut allowance = account.allowance.lock();
-                (allowance.release(want), Some(*allowance))
+                (allowance.release(want), *allowance)
+            }
+        };
+        let is_denied = match purpose {
+            Purpose::Record => {
+                self.renounce(program);
+                false
+            }
+            Purpose::Grant => {
+                let asker = Right::Of(by);
+                *self.right(program, asker.clone()) != asker
             }
         };
         Tell::Released {
             tokens,
             holds,
-            is_claimed: claim.is_some_and(|up_to| self.is_claimed(program, by, up_to)),
+            unrecorded: self.granted(program).unrecorded,
+            is_denied,
             reaches_store: self.partitions.store_away_for().is_none(),
         }
     }
 
-    /// Notes a claim; true if another daemon has one.
-    fn is_claimed(&self, program: &ProgramKey, by: String, up_to: u64) -> bool {
-        let mut claims = self.claims.lock();
-        let claim = claims.entry(program.clone()).or_insert_with(|| Claim {
-            by: by.clone(),
-            up_to,
-        });
-        claim.by != by
-    }
-
     fn next_id(&self) -> TakingId {
         let mut next = self.next.lock();
         *next += 1;
@@ -432,3 +427,12 @@
         }
     }
 }
+
+/// Most that recorded takings of a program may come to, for one account.
+fn limit(account: &Account, need: Need<'_>) -> u64 {
+    let limit = allowance::limit(need.budget, need.most);
+    match *account.unrecorded.lock() {
+        Some(unrecorded) => limit.saturating_sub(unrecorded),
+        None => allowance::recorded_limit(limit),
+    }
+}
--- a/kingcupspan/src/gateway/members.rs
+++ b/kingcupspan/src/gateway/members.rs
@@ -77,6 +77,7 @@
         let Some(offset) = end else {
             let newest = self.store.newest(self.partition()).await?;
             newest.records.iter().for_each(|r| self.apply(r));
+            self.peers.note_listed();
             return Ok(Some(newest.end));
         };
         match self
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -53,10 +53,10 @@
             program,
             want,
             by,
-            claim,
-        } => service.ledger.release(&program, want, by, claim),
-        Ask::Recorded { program, by } => {
-            service.ledger.recorded(&program, &by);
+            purpose,
+        } => service.ledger.release(&program, want, by, purpose),
+        Ask::Unclaim { program, by } => {
+            service.ledger.unclaim(&program, &by);
             Tell::Noted
         }
         Ask::Find(ids) => Tell::Found(service.partitions.in_memory(&ids)),
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -3,18 +3,22 @@
 use std::{
     collections::{HashMap, HashSet},
     net,
-    sync::Arc,
-    time::Duration,
-    time::Instant,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use async_std::task;
-use kingcupspan_core::gateway::{
-    allowance::Allowance,
-    call::{ProgramKey, RequestId},
-    history::Turn,
+use kingcupspan_core::{
+    gateway::{
+        allowance::Allowance,
+        call::{ProgramKey, RequestId},
+        history::Turn,
+    },
+    id::WallMs,
 };
-use kingcupspan_core::id::WallMs;
 use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +61,17 @@
     pub started: WallMs,
 }
 
+/// Why unused tokens are asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// The asker records what it takes; from now on nobody grants tokens of the
+    /// program without a record.
+    Record,
+
+    /// The store is away and the asker wants to grant itself tokens.
+    Grant,
+}
+
 /// A question to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Ask {
@@ -74,12 +89,12 @@
         /// The incarnation that asks.
         by: String,
 
-        /// Tokens that the asker may grant itself without a record, if no other may.
-        claim: Option<u64>,
+        /// What else the asker wants.
+        purpose: Purpose,
     },
 
-    /// An incarnation has recorded what it granted itself of a program's tokens.
-    Recorded {
+    /// An incarnation gives up its right to grant itself tokens of a program.
+    Unclaim {
         /// The program.
         program: ProgramKey,
 
@@ -106,7 +121,7 @@
 /// A peer's answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Tell {
-    /// To [`Ask::Hello`] and [`Ask::Recorded`].
+    /// To [`Ask::Hello`] and [`Ask::Unclaim`].
     Noted,
 
     /// To [`Ask::Release`].
@@ -114,11 +129,14 @@
         /// Tokens handed over.
         tokens: u64,
 
-        /// What the peer holds after that; none if it does not know the program.
-        holds: Option<Allowance>,
+        /// What the peer holds of the program after that.
+        holds: Allowance,
 
-        /// Whether another daemon may grant itself tokens of this program.
-        is_claimed: bool,
+        /// Tokens that the peer granted itself and has not recorded.
+        unrecorded: u64,
+
+        /// Whether the asker must not grant itself tokens.
+        is_denied: bool,
 
         /// Whether the store answers the peer.
         reaches_store: bool,
@@ -159,6 +177,7 @@
     clock: Clock,
     client: Client,
     listed: RwLock<HashMap<String, Peer>>,
+    is_listed: AtomicBool,
     silent: Mutex<HashMap<String, Instant>>,
     heard: Mutex<HashMap<String, Instant>>,
 }
@@ -171,6 +190,7 @@
             clock,
             client: Client::default(),
             listed: RwLock::default(),
+            is_listed: AtomicBool::default(),
             silent: Mutex::default(),
             heard: Mutex::default(),
         }
@@ -315,6 +335,16 @@
         told
     }
 
+    /// Whether the list has been read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the list has been read.
+    pub fn note_listed(&self) {
+        self.is_listed.store(true, Ordering::Relaxed);
+    }
+
     /// Notes a daemon.
     pub fn insert(&self, peer: Peer) {
         self.listed.write().insert(peer.vm.clone(), peer);
--- a/kingcupspan/src/gateway/stop.rs
+++ b/kingcupspan/src/gateway/stop.rs
@@ -13,7 +13,7 @@
 
 /// How long connections are still accepted: the balancer asks once a second
 /// and takes a daemon out after two misses.
-const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
+const ACCEPT_FOR: Duration = Duration::from_millis(2_600);
 
 /// Part of the grace within which requests under way may end.
 const GRACE_SHARE: f64 = 0.9;
@@ -61,7 +61,7 @@
         self.under_way.load(Ordering::SeqCst)
     }
 
-    /// Completes when connections without a request are to be closed.
+    /// Completes when connections without a request are closed and none is accepted.
     pub async fn idle_closing(&self) {
         loop {
             let listener = self.closing.listen();
--- a/kingcupspan_core/src/gateway/allowance.rs
+++ b/kingcupspan_core/src/gateway/allowance.rs
@@ -6,6 +6,10 @@
 //! has seen every other, so valid takings never exceed the limit, whatever was
 //! lost, late or repeated. Daemons hand unused tokens to each other directly;
 //! that leaves the sum of all takings as it is.
+//!
+//! While the store is away a daemon may grant a part of a program's tokens, to be
+//! recorded later. So that nothing depends on who has read or noticed what,
+//! takings leave room for such grants until every daemon has agreed to make none.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -63,17 +67,16 @@
     budget + most
 }
 
-/// Most that all takings may come to while a failure domain is out of reach whose
-/// daemons had taken `by_silent`: the other half of the rest is left to it.
-pub fn limit_beside_cut(limit: u64, by_silent: u64) -> u64 {
-    (limit + by_silent.min(limit)) / 2
+/// Most that recorded takings may come to as long as some daemon may be granting
+/// tokens without a record.
+pub fn recorded_limit(limit: u64) -> u64 {
+    limit / 2
 }
 
-/// Most that daemons without the store may grant of a program of whose tokens
-/// they know `total` to be taken. They know at least their own takings, so that
-/// this and [`limit_beside_cut`] never come to more than `limit`.
-pub fn grant_without_store(limit: u64, total: u64) -> u64 {
-    limit.saturating_sub(total) / 2
+/// Most that one side of a network partition may grant without a record. Two
+/// sides together stay within what [`recorded_limit`] leaves.
+pub fn unrecorded_limit(limit: u64) -> u64 {
+    limit / 4
 }
 
 /// What one daemon holds of one program's budget.
--- /dev/null
+++ b/kingcupspan_core/tests/gateway/events.rs
@@ -0,0 +1,51 @@
+//! Event streams come in pieces of any size.
+
+use kingcupspan_core::gateway::events::Scanner;
+use proptest::prelude::*;
+
+fn event(id: usize, data: &str) -> String {
+    format!("id: {id}\ndata: {data}\n\n")
+}
+
+#[test]
+fn collects_the_data_of_whole_events() {
+    let mut scanner = Scanner::new(true);
+    let passed =
+        scanner.push(b"id: 1\ndata: a b\n\nid: 2\r\ndata:c\r\ndata: d\r\n\r\nid: 3\ndata: cut");
+    insta::assert_snapshot!(String::from_utf8(passed).unwrap(), @"
+    id: 1
+    data: a b
+
+    id: 2
+    data:c
+    data: d
+    ");
+    assert_eq!(scanner.events(), 2);
+    assert!(!scanner.is_at_boundary());
+    assert_eq!(scanner.into_output(), b"a b\nc\nd\n");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn pieces_do_not_matter(datas in proptest::collection::vec("[a-z ]{0,12}", 0..8), cuts in proptest::collection::vec(1usize..9, 1..60)) {
+        let stream: String = datas.iter().enumerate().map(|(i, d)| event(i, d)).collect();
+        let mut scanner = Scanner::new(true);
+        let mut passed = Vec::new();
+        let mut rest = stream.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            passed.extend(scanner.push(piece));
+            rest = after;
+        }
+        prop_assert_eq!(passed, stream.as_bytes());
+        prop_assert_eq!(scanner.events(), datas.len() as u64);
+        prop_assert!(scanner.is_at_boundary());
+        let expected: String = datas.iter().map(|d| format!("{}\n", d)).collect();
+        prop_assert_eq!(scanner.into_output(), expected.into_bytes());
+    }
+}
--- /dev/null
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -0,0 +1,8 @@
+//! Decisions of the gateway, without sockets or clocks.
+
+mod budget_spec;
+mod directory;
+mod events;
+mod history;
+mod placement;
+mod routing;
