--- /dev/null
+++ b/kingcupspan/tests/http_edge.rs
@@ -0,0 +1,160 @@
+//! Heads and bodies of HTTP/1.1 as callers and endpoints send them.
+
+use kingcupspan::http::{
+    framing::{Framing, Step},
+    head::{self, HeadError},
+};
+use kingcupspan_platform::headers::Lookup;
+use proptest::prelude::*;
+
+fn request(text: &str) -> Result<head::RequestHead, HeadError> {
+    head::parse_request(text.as_bytes()).map(|parsed| parsed.expect("the head is whole").0)
+}
+
+#[test]
+fn a_target_is_kept_as_it_was_sent() {
+    let target = r#"/a/%7Eb/./c?x=%zz&y='"{}"#;
+    let head = request(&format!(
+        "GET {target} HTTP/1.1\r\nHost: h.example:80\r\n\r\n"
+    ))
+    .unwrap();
+    assert_eq!(head.target, target);
+    assert_eq!(head.host_and_path(), Some(("h.example", "/a/%7Eb/./c")));
+}
+
+#[test]
+fn bytes_that_are_not_ascii_are_kept() {
+    let mut bytes = b"GET / HTTP/1.1\r\nHost: h\r\nX: ".to_vec();
+    bytes.extend([0xc3, 0xa4, 0xff]);
+    bytes.extend(b"\r\n\r\n");
+    let (head, len) = head::parse_request(&bytes).unwrap().unwrap();
+    assert_eq!(len, bytes.len());
+    assert_eq!(head.headers.all("x").next(), Some(&[0xc3, 0xa4, 0xff][..]));
+}
+
+#[test]
+fn heads_of_16_kib_are_read() {
+    let value = "v".repeat(16_000);
+    let head = request(&format!("GET / HTTP/1.1\r\nHost: h\r\nX: {value}\r\n\r\n")).unwrap();
+    assert_eq!(head.headers.get("x"), Some(value.as_str()));
+}
+
+#[test]
+fn ambiguous_lengths_are_refused() {
+    let with = |headers: &str| request(&format!("POST / HTTP/1.1\r\nHost: h\r\n{headers}\r\n\r\n"));
+    for headers in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: +3",
+        "Content-Length: 3, 3",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+    ] {
+        assert!(with(headers).is_err(), "{headers}");
+    }
+    let same = with("Content-Length: 3\r\nContent-Length: 3").unwrap();
+    assert_eq!(same.framing, Framing::Length(3));
+}
+
+#[test]
+fn headers_of_one_connection_are_not_passed_on() {
+    let head = request(
+        "POST / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n\
+         Keep-Alive: timeout=5\r\nTE: trailers\r\nContent-Length: 0\r\nX-End: 2\r\n\r\n",
+    )
+    .unwrap();
+    let names: Vec<&str> = head.headers.end_to_end().map(|(n, _)| n.as_str()).collect();
+    assert_eq!(names, ["Host", "X-End"]);
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    let parsed = head::parse_answer(b"HTTP/1.1 200 OK\r\n\r\nabc", "GET");
+    let (head, _) = parsed.unwrap().unwrap();
+    assert_eq!(head.framing, Framing::UntilClose);
+    assert!(!head.keeps_alive);
+}
+
+/// Reads a body that arrives in pieces; none if it is not whole.
+fn read(mut framing: Framing, pieces: &[&[u8]]) -> Result<Option<Vec<u8>>, ()> {
+    let mut buf = Vec::new();
+    let mut body = Vec::new();
+    for piece in pieces {
+        buf.extend_from_slice(piece);
+        loop {
+            match framing.step(&buf).map_err(|_| ())? {
+                Step::End { .. } => return Ok(Some(body)),
+                Step::More { skip } => {
+                    buf.drain(..skip);
+                    break;
+                }
+                Step::Data { skip, data } => {
+                    body.extend_from_slice(&buf[skip..skip + data]);
+                    buf.drain(..skip + data);
+                }
+            }
+        }
+    }
+    Ok(framing.is_done().then_some(body))
+}
+
+#[test]
+fn a_body_cut_short_is_not_whole() {
+    assert_eq!(read(Framing::Length(4), &[b"abc"]), Ok(None));
+    assert_eq!(read(Framing::chunked(), &[b"3\r\nabc\r\n"]), Ok(None));
+    assert_eq!(read(Framing::chunked(), &[b"3\r\nabc\r\n0\r\n"]), Ok(None));
+    let whole = read(Framing::chunked(), &[b"3;x=y\r\nabc\r\n0\r\nT: 1\r\n\r\n"]);
+    assert_eq!(whole, Ok(Some(b"abc".to_vec())));
+}
+
+#[test]
+fn broken_chunks_are_refused() {
+    for body in [
+        "x\r\n",
+        "\r\n",
+        "3\nabc\r\n",
+        "3\r\nabcd\r\n",
+        "-1\r\n",
+        "ffffffffffffffffff\r\n",
+    ] {
+        assert_eq!(
+            read(Framing::chunked(), &[body.as_bytes()]),
+            Err(()),
+            "{body:?}"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn chunks_may_arrive_in_any_pieces(
+        chunks in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..40), 0..6),
+        size in 1usize..17,
+    ) {
+        let mut wire = Vec::new();
+        for chunk in &chunks {
+            wire.extend(format!("{:X}\r\n", chunk.len()).into_bytes());
+            wire.extend(chunk);
+            wire.extend(b"\r\n");
+        }
+        wire.extend(b"0\r\n\r\n");
+        let pieces: Vec<&[u8]> = wire.chunks(size).collect();
+        prop_assert_eq!(read(Framing::chunked(), &pieces), Ok(Some(chunks.concat())));
+        let without_end: Vec<&[u8]> = wire[..wire.len() - 1].chunks(size).collect();
+        prop_assert_eq!(read(Framing::chunked(), &without_end), Ok(None));
+    }
+
+    #[test]
+    fn no_bytes_break_the_parser(bytes in proptest::collection::vec(any::<u8>(), 0..200), size in 1usize..9) {
+        let pieces: Vec<&[u8]> = bytes.chunks(size).collect();
+        let _ = read(Framing::chunked(), &pieces);
+        let _ = head::parse_request(&bytes);
+        let _ = head::parse_answer(&bytes, "GET");
+    }
+}
