--- a/kingcupspan/src/gateway/keeper.rs
+++ b/kingcupspan/src/gateway/keeper.rs
@@ -14,7 +14,7 @@
     peers::{Ask, Peers, Tell},
 };
 
-/// How long the store may take before peers are asked.
+/// How long the store may take before peers are asked, once and again.
 const STORE_PATIENCE: Duration = Duration::from_millis(60);
 
 /// Copies that replace the store for a while.
@@ -32,14 +32,12 @@
 ) {
     partitions.keep_copy(id.clone(), Arc::clone(&turn));
     let mut storing = task::spawn(store(Arc::clone(partitions), id.clone(), Arc::clone(&turn)));
-    if future::timeout(STORE_PATIENCE, &mut storing).await.is_ok() {
-        return;
-    }
-    if copy(peers, id, &turn).await {
-        log::info!(request = &*id.0; "turn kept by peers until the store takes it");
-        return;
+    while future::timeout(STORE_PATIENCE, &mut storing).await.is_err() {
+        if copy(peers, id, &turn).await {
+            log::info!(request = &*id.0; "turn kept by peers until the store takes it");
+            return;
+        }
     }
-    storing.await;
 }
 
 /// Brings a turn to the store, however long that takes.
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -18,6 +18,9 @@
 /// How long a call may take; a slow store answers within a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a call for a peer may take: less than the peer waits for it.
+const HELP_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// How long a connection to the store may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -195,7 +198,7 @@
         let call = Call {
             path,
             body,
-            timeout: CALL_TIMEOUT,
+            timeout: HELP_TIMEOUT,
         };
         match self.direct(&call).await {
             Ok(body) => Some((200, body)),
@@ -235,7 +238,7 @@
 
     async fn direct(&self, call: &Call) -> Result<Vec<u8>, StoreFailure> {
         let patience = Patience {
-            connect: CONNECT_TIMEOUT,
+            connect: CONNECT_TIMEOUT.min(call.timeout),
             head: call.timeout,
             body: call.timeout,
         };
