Take tokens ahead; log without blocking; metrics; forget what is over

Change: a taking holds tokens for turns to come while much of a budget is left; log lines go through a bounded queue to a thread and are dropped, counted, when it is full; /metrics at the operators' address; accounts and takings of programs without turns are forgotten after five minutes.

--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -154,7 +154,7 @@
         }
         Err(refusal) => (Ended::Refused(refusal), Default::default()),
     };
-    log_end(id.as_ref(), &ended, &detail, arrived);
+    note_end(service, id.as_ref(), &ended, &detail, arrived);
     let closes = wants_close || service.stop.is_stopping();
     match ended {
         Ended::Answered(_) if !closes => Next::KeepOpen,
@@ -169,15 +169,24 @@
     }
 }
 
-fn log_end(id: Option<&RequestId>, ended: &Ended, detail: &(String, String), arrived: Instant) {
+/// Logs and counts a request that has ended.
+fn note_end(
+    service: &Service,
+    id: Option<&RequestId>,
+    ended: &Ended,
+    detail: &(String, String),
+    arrived: Instant,
+) {
     let id = id.map_or("-", |id| &*id.0);
-    let ms = arrived.elapsed().as_millis() as u64;
     let (status, reason) = match ended {
         Ended::Answered(status) => (*status, String::new()),
         Ended::Refused(refusal) => (refusal.reason.status(), refusal.reason.to_string()),
         Ended::Cut(reason) => (0, format!("cut: {reason}")),
         Ended::Gone => (0, "caller gone".to_owned()),
     };
+    let took = arrived.elapsed();
+    service.metrics.request(status, &reason, took);
     let (route, endpoint) = (detail.0.as_str(), detail.1.as_str());
+    let ms = took.as_millis() as u64;
     log::info!(request = id, route, endpoint, status, reason = reason.as_str(), ms; "request ended");
 }
--- a/kingcupspan/src/gateway/keeper.rs
+++ b/kingcupspan/src/gateway/keeper.rs
@@ -23,21 +23,32 @@
 /// Pause between attempts at the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Who keeps a turn when its answer ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kept {
+    /// The store.
+    ByStore,
+
+    /// Peers, until the store takes it.
+    ByPeers,
+}
+
 /// Keeps a turn; returns once it can be found by whoever needs it.
 pub async fn keep(
     partitions: &Arc<Partitions>,
     peers: &Arc<Peers>,
     id: &RequestId,
     turn: Arc<Turn>,
-) {
+) -> Kept {
     partitions.keep_copy(id.clone(), Arc::clone(&turn));
     let mut storing = task::spawn(store(Arc::clone(partitions), id.clone(), Arc::clone(&turn)));
     while future::timeout(STORE_PATIENCE, &mut storing).await.is_err() {
         if copy(peers, id, &turn).await {
             log::info!(request = &*id.0; "turn kept by peers until the store takes it");
-            return;
+            return Kept::ByPeers;
         }
     }
+    Kept::ByStore
 }
 
 /// Brings a turn to the store, however long that takes.
--- a/kingcupspan/src/gateway/ledger.rs
+++ b/kingcupspan/src/gateway/ledger.rs
@@ -25,6 +25,9 @@
 /// Silence after which a failure domain counts as cut off.
 const ALONE_FOR: Duration = Duration::from_millis(600);
 
+/// Rights of other daemons' programs that are remembered.
+const RIGHTS_MAX: usize = 20_000;
+
 /// Why a turn gets no tokens.
 #[derive(Debug, thiserror::Error)]
 pub enum LedgerError {
@@ -49,6 +52,9 @@
     /// Set once no daemon grants tokens without a record any more: tokens that
     /// were granted so before.
     unrecorded: Mutex<Option<u64>>,
+
+    /// When a turn last asked for tokens.
+    asked: Mutex<Option<Instant>>,
 }
 
 /// Who may grant tokens of a program without a record.
@@ -161,6 +167,7 @@
     /// Reserves tokens of a program's budget for a turn.
     pub async fn reserve(self: &Arc<Self>, need: Need<'_>) -> Result<Reservation, LedgerError> {
         let account = self.account(need.program);
+        *account.asked.lock() = Some(Instant::now());
         loop {
             if account.allowance.lock().reserve(need.most) {
                 return Ok(Reservation {
@@ -178,6 +185,22 @@
         }
     }
 
+    /// Forgets programs without turns for `span`.
+    pub fn expire(&self, span: Duration) {
+        let is_recent = |a: &Account| a.asked.lock().is_some_and(|at| at.elapsed() < span);
+        let mut accounts = self.accounts.lock();
+        accounts.retain(|_, a| Arc::strong_count(a) > 1 || is_recent(a));
+        let is_known = |program: &ProgramKey| accounts.contains_key(program);
+        self.grants
+            .lock()
+            .retain(|p, g| g.unrecorded > 0 || is_known(p));
+        let granted: Vec<ProgramKey> = self.grants.lock().keys().cloned().collect();
+        let mut rights = self.rights.lock();
+        if rights.len() > RIGHTS_MAX {
+            rights.retain(|p, _| is_known(p) || granted.contains(p));
+        }
+    }
+
     fn account(&self, program: &ProgramKey) -> Arc<Account> {
         Arc::clone(self.accounts.lock().entry(program.clone()).or_default())
     }
@@ -193,10 +216,13 @@
         if missing == 0 {
             return Ok(());
         }
-        if self.partitions.total_taken(need.program) + missing > limit(account, need) {
+        let total = self.partitions.total_taken(need.program);
+        if total + missing > limit(account, need) {
             return self.gather(account, need, missing).await;
         }
-        match self.take(account, need, missing).await {
+        let limit = allowance::limit(need.budget, need.most);
+        let tokens = allowance::taking(missing, need.most, total, limit);
+        match self.take(account, need, tokens).await {
             Ok(()) => Ok(()),
             Err(e) => self.do_without_store(account, need, missing, e).await,
         }
--- /dev/null
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of the gateway in the Prometheus text format.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder,
+};
+
+use crate::metrics::{opts, register};
+
+/// Bounds of latencies, in seconds.
+const LATENCY_BUCKETS_S: [f64; 11] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 10.0,
+];
+
+/// All metrics of the gateway.
+pub struct Metrics {
+    registry: Registry,
+
+    /// Requests by status and reason.
+    pub requests: IntCounterVec,
+
+    /// Seconds from the head of a request to the end of its answer.
+    pub latency_s: Histogram,
+
+    /// Requests sent to endpoints, by outcome.
+    pub sends: IntCounterVec,
+
+    /// Turns kept by peers because the store did not answer.
+    pub copies: IntCounter,
+
+    /// Requests under way.
+    pub under_way: IntGauge,
+
+    /// Version of the configuration in force.
+    pub configuration_version: IntGauge,
+
+    /// Seconds for which the store has not answered, 0 while it does.
+    pub store_away_s: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(&registry, IntCounterVec::new(opts(name, help), labels))
+        };
+        let gauge =
+            |name: &str, help: &str| register(&registry, IntGauge::with_opts(opts(name, help)));
+        let latency = HistogramOpts::from(opts("request_seconds", "Time to the end of the answer"))
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let copies = opts(
+            "turn_copies_total",
+            "Turns kept by peers instead of the store",
+        );
+        Self {
+            requests: counters(
+                "requests_total",
+                "Requests by outcome",
+                &["status", "reason"],
+            ),
+            latency_s: register(&registry, Histogram::with_opts(latency)),
+            sends: counters("sends_total", "Requests sent to endpoints", &["outcome"]),
+            copies: register(&registry, IntCounter::with_opts(copies)),
+            under_way: gauge("requests_under_way", "Requests under way"),
+            configuration_version: gauge("configuration_version", "Version in force"),
+            store_away_s: gauge("store_away_seconds", "Time without an answer of the store"),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that has ended.
+    pub fn request(&self, status: u16, reason: &str, took: Duration) {
+        let labels = [&status.to_string(), reason];
+        self.requests.with_label_values(&labels).inc();
+        self.latency_s.observe(took.as_secs_f64());
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> String {
+        let mut buf = Vec::new();
+        // Writing into memory does not fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
+        String::from_utf8(buf).unwrap_or_default()
+    }
+}
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod keeper;
 pub mod ledger;
 pub mod members;
+pub mod metrics;
 pub mod partitions;
 pub mod peer_service;
 pub mod peers;
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -18,12 +18,16 @@
         call::{ProgramKey, RequestId},
         history::{Cache, Turn},
     },
+    id::MonoMs,
 };
 use kingcupspan_platform::store::{self, Appended, Partition, Record};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::store::{Read, Store, StoreFailure};
+use crate::{
+    clock::Clock,
+    gateway::store::{Read, Store, StoreFailure},
+};
 
 /// Topics over which records are spread; with the partitions of each this
 /// keeps what must be read for one turn or program small.
@@ -57,6 +61,7 @@
 
 /// The system's partitions and what was read of them.
 pub struct Partitions {
+    clock: Clock,
     store: Arc<Store>,
     topics: Vec<String>,
     parts: u32,
@@ -68,11 +73,12 @@
 impl Partitions {
     /// Nothing read yet; `parts` partitions in each topic, `cache_bytes` of
     /// turns in memory.
-    pub fn new(store: Arc<Store>, parts: u32, cache_bytes: usize) -> Self {
+    pub fn new(store: Arc<Store>, parts: u32, cache_bytes: usize, clock: Clock) -> Self {
         let name = |i| store::own_topic(&format!("turns-{i}"));
         let mut topics: Vec<String> = (0..TOPICS).map(name).collect();
         topics.push(store::own_topic("takings"));
         Self {
+            clock,
             store,
             topics,
             parts,
@@ -119,9 +125,11 @@
         self.takings.lock().total(program)
     }
 
-    /// Whether anybody is known to have taken tokens of a program.
-    pub fn knows_takings(&self, program: &ProgramKey) -> bool {
-        self.takings.lock().knows(program)
+    /// Forgets programs of which nothing was read for `span`.
+    pub fn expire(&self, span: Duration) {
+        let now = self.clock.mono().0;
+        let before = now.saturating_sub(span.as_millis() as u64);
+        self.takings.lock().expire(MonoMs(before));
     }
 
     /// Who took how many tokens of a program, as far as was read.
@@ -263,7 +271,9 @@
         match stored {
             Stored::Turn(id, turn) => self.turns.lock().insert(id, Arc::new(turn)),
             Stored::Taking(program, id, tokens) => {
-                self.takings.lock().apply(&program, id, tokens);
+                self.takings
+                    .lock()
+                    .apply(&program, id, tokens, self.clock.mono());
             }
         }
     }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -20,6 +20,7 @@
         ingress,
         ledger::Ledger,
         members::Members,
+        metrics::Metrics,
         partitions::Partitions,
         peer_service,
         peers::{Peer, Peers},
@@ -32,8 +33,12 @@
 /// Share of the VM's memory for turns that are kept in memory.
 const CACHE_SHARE: u64 = 6;
 
+/// How long a program without turns is remembered; one that was stopped may come
+/// back within the retention of its route, a minute at the users'.
+const FORGET_AFTER: Duration = Duration::from_secs(300);
+
 /// Pause between sweeps over idle connections.
-const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+const SWEEP_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The sockets of a daemon.
 pub struct Listeners {
@@ -71,7 +76,12 @@
     let configuration = Arc::new(Current::default());
     let endpoints = Arc::new(Endpoints::new(clock));
     let cache_bytes = (settings.memory_bytes / CACHE_SHARE) as usize;
-    let partitions = Partitions::new(Arc::clone(&store), settings.store.partitions, cache_bytes);
+    let partitions = Partitions::new(
+        Arc::clone(&store),
+        settings.store.partitions,
+        cache_bytes,
+        clock,
+    );
     let partitions = Arc::new(partitions);
     task::spawn(configuration::follow(
         Arc::clone(&store),
@@ -94,6 +104,7 @@
         partitions,
         upstream: Arc::default(),
         domain: settings.domain.clone(),
+        metrics: Metrics::default(),
         stop: Arc::new(Stop::default()),
         spread: AtomicU64::default(),
     })
@@ -133,6 +144,8 @@
     loop {
         task::sleep(SWEEP_PAUSE).await;
         service.upstream.sweep();
+        service.ledger.expire(FORGET_AFTER);
+        service.partitions.expire(FORGET_AFTER);
     }
 }
 
@@ -145,11 +158,22 @@
 fn handle(service: &Service, ex: &Exchange) -> Response {
     match (ex.req.method(), ex.req.url().path()) {
         (Method::Get, "/dump") => dump(service),
+        (Method::Get, "/metrics") => metrics(service),
         (Method::Get, _) if is_ready(service) => Response::new(200),
         _ => Response::new(503),
     }
 }
 
+fn metrics(service: &Service) -> Response {
+    let gauges = &service.metrics;
+    let version = service.configuration.get().map_or(0, |c| c.version.0);
+    let away = service.store.away_for().unwrap_or_default();
+    gauges.under_way.set(service.stop.under_way() as i64);
+    gauges.configuration_version.set(version as i64);
+    gauges.store_away_s.set(away.as_secs() as i64);
+    Response::from(gauges.text())
+}
+
 fn dump(service: &Service) -> Response {
     let endpoints: Vec<_> = service.endpoints.all();
     let state = json!({
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -29,6 +29,7 @@
         keeper,
         ledger::{Ledger, LedgerError, Need},
         members::Members,
+        metrics::Metrics,
         partitions::Partitions,
         peers::Peers,
         recall::{self, RecallError},
@@ -84,6 +85,9 @@
     /// The failure domain of this VM.
     pub domain: String,
 
+    /// What is counted.
+    pub metrics: Metrics,
+
     /// A planned stop.
     pub stop: Arc<Stop>,
 
@@ -294,6 +298,10 @@
             ex.progress = Progress::Sent;
             let sent = self.upstream.send(&endpoint, &out).await;
             tried.push(endpoint.id.clone());
+            self.metrics
+                .sends
+                .with_label_values(&[outcome(&sent)])
+                .inc();
             match sent {
                 Ok(reply) if reply.info.not_executed => {
                     log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = reply.head.status; "endpoint refused");
@@ -364,7 +372,10 @@
     ) -> Result<u16, Failure> {
         if let Some(turn) = end.turn {
             let turn = Arc::new(turn);
-            keeper::keep(&self.partitions, &self.peers, &ex.id, turn).await;
+            let kept = keeper::keep(&self.partitions, &self.peers, &ex.id, turn).await;
+            if kept == keeper::Kept::ByPeers {
+                self.metrics.copies.inc();
+            }
         }
         match caller.write(&end.last_bytes).await {
             Ok(()) => Ok(end.status),
@@ -373,6 +384,17 @@
     }
 }
 
+/// What became of a request that was sent, for the metrics.
+fn outcome(sent: &Result<Reply, SendError>) -> &'static str {
+    match sent {
+        Ok(reply) if reply.info.not_executed => "refused",
+        Ok(reply) if !reply.is_credible() => "unsigned",
+        Ok(_) => "answered",
+        Err(SendError::NotSent(_)) => "not sent",
+        Err(SendError::Lost(_)) => "lost",
+    }
+}
+
 fn store_away() -> Refusal {
     Refusal {
         reason: Reason::StoreAway,
--- a/kingcupspan/src/logging.rs
+++ b/kingcupspan/src/logging.rs
@@ -1,15 +1,32 @@
 //! Structured logs.
 
-use std::sync::OnceLock;
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+};
 
-use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
+use flexi_logger::{
+    DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle, writers::LogWriter,
+};
+
+/// Lines that wait to be written.
+const LINES_MAX: usize = 4_096;
+
+/// Usual length of a line, in bytes.
+const LINE_BYTES: usize = 256;
 
 static HANDLE: OnceLock<LoggerHandle> = OnceLock::new();
 
 /// Where log lines go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
-    /// Standard output.
+    /// Standard output, by a thread of its own: a reader that is slow costs lines,
+    /// never time.
     Stdout,
 
     /// Standard error.
@@ -20,15 +37,65 @@
 pub fn start(level: &str, target: Target) -> Result<(), FlexiLoggerError> {
     let logger = Logger::try_with_str(spec(level))?;
     let logger = match target {
-        Target::Stdout => logger.log_to_stdout(),
-        Target::Stderr => logger.log_to_stderr(),
+        Target::Stdout => logger.log_to_writer(Box::new(Bounded::start())),
+        Target::Stderr => logger.log_to_stderr().format(format),
     };
-    let handle = logger.format(format).start()?;
+    let handle = logger.start()?;
     // Logging is started once a process; a second start keeps the first handle.
     let _ = HANDLE.set(handle);
     Ok(())
 }
 
+/// Hands lines to a thread that writes them; lines that find no room are counted.
+struct Bounded {
+    tx: mpsc::SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Bounded {
+    fn start() -> Self {
+        let (tx, rx) = mpsc::sync_channel(LINES_MAX);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let lost = Arc::clone(&dropped);
+        thread::spawn(move || write_lines(&rx, &lost));
+        Self { tx, dropped }
+    }
+}
+
+impl LogWriter for Bounded {
+    fn write(&self, now: &mut DeferredNow, record: &log::Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(LINE_BYTES);
+        format(&mut line, now, record)?;
+        line.push(b'\n');
+        if self.tx.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes lines to standard output until the process ends.
+fn write_lines(rx: &mpsc::Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    let mut out = io::stdout();
+    while let Ok(mut lines) = rx.recv() {
+        while let Ok(line) = rx.try_recv() {
+            lines.extend_from_slice(&line);
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            lines.extend_from_slice(
+                format!("{{\"message\":\"log lines dropped\",\"lines\":{lost}}}\n").as_bytes(),
+            );
+        }
+        // Without a standard output there is nowhere to say so.
+        let _ = out.write_all(&lines);
+    }
+}
+
 fn spec(level: &str) -> String {
     // HTTP libraries log each request at their own levels; ours are enough.
     format!("warn, kingcupspan={level}, kingcupspan_standin={level}")
@@ -66,10 +133,10 @@
 }
 
 fn format(
-    w: &mut dyn std::io::Write,
+    w: &mut dyn Write,
     now: &mut DeferredNow,
     record: &log::Record<'_>,
-) -> Result<(), std::io::Error> {
+) -> Result<(), io::Error> {
     let mut fields = Fields(serde_json::Map::new());
     fields.0.insert("time".into(), now.format_rfc3339().into());
     fields
--- a/kingcupspan/src/metrics.rs
+++ b/kingcupspan/src/metrics.rs
@@ -106,12 +106,16 @@
     }
 }
 
-fn opts(name: &str, help: &str) -> Opts {
+/// Name and help of a metric of this program.
+pub fn opts(name: &str, help: &str) -> Opts {
     Opts::new(name, help).namespace("kingcupspan")
 }
 
 /// Registers a metric; names are constants, so a failure is a defect.
-fn register<C: Collector + Clone + 'static>(registry: &Registry, made: prometheus::Result<C>) -> C {
+pub fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    made: prometheus::Result<C>,
+) -> C {
     let metric = made.expect("metric names and labels are valid");
     registry
         .register(Box::new(metric.clone()))
--- a/kingcupspan_core/src/gateway/allowance.rs
+++ b/kingcupspan_core/src/gateway/allowance.rs
@@ -15,7 +15,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::call::ProgramKey;
+use crate::{gateway::call::ProgramKey, id::MonoMs};
 
 /// Names one taking of a program: who took and its number.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -30,31 +30,40 @@
 /// All takings of programs as far as they were read.
 #[derive(Debug, Clone, Default)]
 pub struct Takings {
-    programs: HashMap<ProgramKey, BTreeMap<TakingId, u64>>,
+    programs: HashMap<ProgramKey, Program>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Program {
+    takings: BTreeMap<TakingId, u64>,
+    last: MonoMs,
 }
 
 impl Takings {
-    /// Folds a record; a later amount of the same taking replaces the former.
-    pub fn apply(&mut self, program: &ProgramKey, id: TakingId, tokens: u64) {
-        let takings = self.programs.entry(program.clone()).or_default();
-        takings.insert(id, tokens);
+    /// Folds a record read at `now`; a later amount of the same taking replaces
+    /// the former.
+    pub fn apply(&mut self, program: &ProgramKey, id: TakingId, tokens: u64, now: MonoMs) {
+        let program = self.programs.entry(program.clone()).or_default();
+        program.takings.insert(id, tokens);
+        program.last = now;
     }
 
-    /// Whether anybody is known to have taken tokens of a program.
-    pub fn knows(&self, program: &ProgramKey) -> bool {
-        self.programs.contains_key(program)
+    /// Forgets programs of which nothing was read since `before`.
+    pub fn expire(&mut self, before: MonoMs) {
+        self.programs.retain(|_, p| p.last >= before);
     }
 
     /// Tokens taken by everybody.
     pub fn total(&self, program: &ProgramKey) -> u64 {
-        let takings = self.programs.get(program);
-        takings.map_or(0, |t| t.values().sum())
+        let program = self.programs.get(program);
+        program.map_or(0, |p| p.takings.values().sum())
     }
 
     /// Who took how many tokens of a program.
     pub fn takers(&self, program: &ProgramKey) -> BTreeMap<String, u64> {
         let mut takers = BTreeMap::new();
-        for (id, tokens) in self.programs.get(program).into_iter().flatten() {
+        let program = self.programs.get(program);
+        for (id, tokens) in program.into_iter().flat_map(|p| &p.takings) {
             *takers.entry(id.taker.clone()).or_default() += tokens;
         }
         takers
@@ -79,6 +88,20 @@
     limit / 4
 }
 
+/// Tokens to take when `missing` are needed and `total` are taken: also for turns
+/// to come, as long as much is left for other daemons.
+pub fn taking(missing: u64, most: u64, total: u64, limit: u64) -> u64 {
+    let generous = missing + 2 * most;
+    let ample = missing + most;
+    if total + generous <= recorded_limit(limit) / 2 {
+        return generous;
+    }
+    if total + ample <= recorded_limit(limit) / 4 * 3 {
+        return ample;
+    }
+    missing
+}
+
 /// What one daemon holds of one program's budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allowance {
--- a/kingcupspan_core/tests/gateway/budget_spec.rs
+++ b/kingcupspan_core/tests/gateway/budget_spec.rs
@@ -2,9 +2,12 @@
 //! that may be cut off and one outside, with the real limits and folding. Records
 //! are read at any delay, cuts and outages come and go at any moment.
 
-use kingcupspan_core::gateway::{
-    allowance::{self, TakingId, Takings},
-    call::ProgramKey,
+use kingcupspan_core::{
+    gateway::{
+        allowance::{self, TakingId, Takings},
+        call::ProgramKey,
+    },
+    id::MonoMs,
 };
 use pathfinding::directed::bfs;
 
@@ -85,7 +88,7 @@
                 taker: taker.to_string(),
                 number: 1,
             };
-            takings.apply(&program, id, *tokens);
+            takings.apply(&program, id, *tokens, MonoMs(0));
         }
         takings.total(&program)
     }
@@ -216,3 +219,28 @@
         assert!(violation(flaw).is_some(), "{flaw:?} was not found");
     }
 }
+
+#[test]
+fn a_taking_leaves_room_for_others() {
+    // A large budget: two turns ahead, then one, then just what is needed.
+    assert_eq!(allowance::taking(100, 100, 0, 2_000), 300);
+    assert_eq!(allowance::taking(100, 100, 400, 2_000), 200);
+    assert_eq!(allowance::taking(100, 100, 700, 2_000), 100);
+    // A small one: never more than is needed.
+    assert_eq!(allowance::taking(100, 100, 0, 400), 100);
+}
+
+#[test]
+fn programs_are_forgotten_after_a_while() {
+    let program = ProgramKey::from("p");
+    let id = TakingId {
+        taker: "a".to_owned(),
+        number: 1,
+    };
+    let mut takings = Takings::default();
+    takings.apply(&program, id, 5, MonoMs(1_000));
+    takings.expire(MonoMs(1_000));
+    assert_eq!(takings.total(&program), 5);
+    takings.expire(MonoMs(1_001));
+    assert_eq!(takings.total(&program), 0);
+}
