--- a/kingcupspan/src/gateway/answer.rs
+++ b/kingcupspan/src/gateway/answer.rs
@@ -32,6 +32,10 @@
     #[display("no such turn")]
     NoTurn,
 
+    /// The named turn is not found, and a copy of it may be out of reach.
+    #[display("turn not found")]
+    TurnNotFound,
+
     /// The program's budget is spent.
     #[display("budget spent")]
     BudgetSpent,
@@ -81,6 +85,7 @@
             Self::BudgetSpent => 402,
             Self::BudgetBusy
             | Self::NoConfiguration
+            | Self::TurnNotFound
             | Self::NoEndpoint
             | Self::Full
             | Self::StoreAway
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -50,7 +50,7 @@
 /// When a caller should come back after every endpoint was full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
 
-/// When a caller should come back while the store is away.
+/// When a caller should come back whose turn lacks its history or tokens.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Tokens that a turn may generate if its caller does not say.
@@ -238,7 +238,11 @@
             }
             Err(e) => {
                 log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "history unknown");
-                Err(store_away())
+                let reason = match e {
+                    RecallError::Unreadable(_) => Reason::StoreAway,
+                    _ => Reason::TurnNotFound,
+                };
+                Err(come_back(reason))
             }
         }
     }
@@ -273,9 +277,9 @@
             LedgerError::Unknown(_) => Reason::StoreAway,
         };
         log::info!(request = &*ex.id.0, budget, most = need.most, error:? = e; "no tokens");
-        Err(Refusal {
-            reason,
-            retry_after: (reason != Reason::BudgetSpent).then_some(STORE_RETRY_AFTER),
+        Err(match reason {
+            Reason::BudgetSpent => reason.into(),
+            _ => come_back(reason),
         })
     }
 
@@ -284,7 +288,11 @@
         let body = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
         loop {
-            let endpoint = self.place(ex, &tried).ok_or(Reason::NoEndpoint)?;
+            let endpoint = self.place(ex, &tried).ok_or(match *runs {
+                0 => Reason::NoEndpoint,
+                // It may have run, so nothing that promises otherwise is said.
+                _ => Reason::Lost,
+            })?;
             let lease = self.upstream.lease(&endpoint.id);
             let out = Outgoing {
                 method: &ex.head.method,
@@ -395,9 +403,10 @@
     }
 }
 
-fn store_away() -> Refusal {
+/// A refusal of a request that may be served a moment later.
+fn come_back(reason: Reason) -> Refusal {
     Refusal {
-        reason: Reason::StoreAway,
+        reason,
         retry_after: Some(STORE_RETRY_AFTER),
     }
 }
--- a/kingcupspan/tests/gateway.rs
+++ b/kingcupspan/tests/gateway.rs
@@ -226,6 +226,37 @@
     }
 }
 
+#[async_std::test]
+async fn a_turn_that_is_not_found_is_refused_for_now_and_not_run() {
+    let fleet = Fleet::start("gateway-unknown", 1, 2_000).await;
+    let turn = Request::turn("p", "t1", Some("nothing"), 1_000);
+    let answer = fleet.send(0, &turn).await;
+    assert_eq!(
+        (answer.status, answer.body.as_str()),
+        (503, "turn not found\n")
+    );
+    assert!(answer.retry_after.is_some());
+    assert_eq!(fleet.engine.runs(), []);
+}
+
+#[async_std::test]
+async fn an_idempotent_request_that_may_have_run_is_not_said_not_to_have() {
+    let fleet = Fleet::start("gateway-left", 1, 3_000).await;
+    fleet.store.put("keyed.servers", "p2", None);
+    task::sleep(Duration::from_millis(900)).await;
+    fleet.plain[0].set_manner(Manner::Hangs);
+    let request = Request::plain("/safe/", "left");
+    let mut conn = caller::begin(fleet.front(0), &request)
+        .await
+        .expect("it listens");
+    task::sleep(Duration::from_millis(200)).await;
+    fleet.store.put("keyed.servers", "p1", None);
+    task::sleep(Duration::from_millis(900)).await;
+    fleet.plain[0].drop_connections();
+    let answer = caller::read(&mut conn).await.expect("an answer");
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 #[async_std::test]
 async fn a_budget_holds_over_daemons_and_restarts() {
     let mut fleet = Fleet::start("gateway-budget", 2, 2_000).await;
