--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -54,6 +54,11 @@
         self.directory.lock().all()
     }
 
+    /// Drops entries whose time has run out.
+    pub fn expire(&self) {
+        self.directory.lock().expire(self.clock.mono());
+    }
+
     /// Whether nothing is listed yet.
     pub fn is_empty(&self) -> bool {
         self.directory.lock().all().is_empty()
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -31,9 +31,6 @@
     /// The attempt.
     pub id: RequestId,
 
-    /// When its head had arrived.
-    pub arrived: Instant,
-
     /// The configuration that it is handled by.
     pub configuration: Arc<Configuration>,
 
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -144,6 +144,7 @@
     loop {
         task::sleep(SWEEP_PAUSE).await;
         service.upstream.sweep();
+        service.endpoints.expire();
         service.ledger.expire(FORGET_AFTER);
         service.partitions.expire(FORGET_AFTER);
     }
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -160,7 +160,6 @@
             body,
             info,
             id,
-            arrived,
             configuration,
             route,
             service,
