--- a/kingcupspan/src/gateway/backlog.rs
+++ b/kingcupspan/src/gateway/backlog.rs
@@ -59,13 +59,13 @@
     }
 
     /// Number of turns that are queued.
-    pub fn len(&self) -> usize {
+    pub fn queued_turns(&self) -> usize {
         self.queues.lock().values().map(Vec::len).sum()
     }
 
-    /// Whether no turns are queued.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    /// Whether turns are queued or held for other daemons.
+    pub fn has_unstored_turns(&self) -> bool {
+        self.queued_turns() > 0 || !self.replicas.lock().is_empty()
     }
 
     /// Queues a turn to be written to the store, with unlimited retries; the receiver is
--- a/kingcupspan/src/gateway/history_lookup.rs
+++ b/kingcupspan/src/gateway/history_lookup.rs
@@ -68,7 +68,7 @@
     let found = partitions.chain(last).or(from_store);
     match found {
         Err(HistoryError::Unknown(id))
-            if !all_responded || peers.recent_starts(retention).daemons > 0 =>
+            if !all_responded || peers.forgetful(retention).daemons > 0 =>
         {
             Err(HistoryError::PossiblyLost(id))
         }
--- a/kingcupspan/src/gateway/ledger/grants.rs
+++ b/kingcupspan/src/gateway/ledger/grants.rs
@@ -9,8 +9,9 @@
 use kingcupspan_core::gateway::{
     allocation,
     call::ProgramKey,
-    grant::{self, GrantConditions, Incarnation},
+    grant::{self, Ballot, GrantClaims, GrantConditions, GrantTally, Incarnation, Vote},
 };
+use parking_lot::MutexGuard;
 
 use super::{Account, Ledger, POLL_INTERVAL, ReserveError, TokenRequest, peer_poll::PeerPoll};
 use crate::gateway::{
@@ -89,16 +90,19 @@
         }
         let limit = allocation::limit(request.budget, request.max_tokens);
         let granted = self.offline_grants(program).total;
-        let tokens = allocation::offline_grant_size(missing - poll.received, granted, limit);
-        let conditions = self.grant_conditions(request, tokens, &poll);
-        if conditions.may_grant(limit) && self.add_grant(program, tokens) {
+        let conditions = self.grant_conditions(request, &poll);
+        let max_grant = conditions.max_grant(limit);
+        let size = allocation::offline_grant_size(missing - poll.received, granted, max_grant);
+        if let Some(tokens) = size
+            && self.add_grant(program, tokens)
+        {
             account.quota.lock().add(tokens);
             log::info!(program = &*program.0, tokens, standing:? = conditions; "store unreachable; tokens granted offline");
             self.record_grant(program, tokens);
             return GrantOutcome::Granted;
         }
-        log::info!(program = &*program.0, tokens, standing:? = conditions; "store unreachable; offline grant denied");
-        if self.offline_grants(program).total > 0 {
+        log::info!(program = &*program.0, granted, max_grant, standing:? = conditions; "store unreachable; offline grant denied");
+        if granted > 0 {
             return GrantOutcome::Denied;
         }
         let own = &self.peers.local.incarnation;
@@ -157,31 +161,41 @@
     }
 
     /// Collects the conditions that decide whether this daemon may make an offline grant.
-    fn grant_conditions(
-        &self,
-        request: TokenRequest<'_>,
-        tokens: u64,
-        poll: &PeerPoll,
-    ) -> GrantConditions {
+    fn grant_conditions(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> GrantConditions {
         GrantConditions {
-            asked: poll.asked,
-            agreed: poll.responded,
-            asked_same_domain: poll.asked_same_domain,
-            agreed_same_domain: poll.responded_same_domain,
+            tally: self.tally(request, poll),
             is_denied: poll.is_denied,
             is_cut_off: self.connectivity.is_cut_off(),
             has_member_list: self.peers.has_loaded_members(),
             has_read_records: self.partitions.has_read_allocations(request.program),
             grants_disabled: self.partitions.grants_disabled(request.program),
-            total_granted: self.offline_grants(request.program).total + tokens,
         }
     }
 
+    /// Counts the votes of all daemons on an offline grant of this daemon, which has the
+    /// claim on the program.
+    fn tally(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> GrantTally {
+        let local = self.peers.local_entry();
+        let own = Ballot {
+            vote: self.peers.vote(&local, request.retention),
+            domain: local.domain.clone(),
+        };
+        let absent = |domain| Ballot {
+            domain,
+            vote: Vote::Missing,
+        };
+        let left = self.peers.domains_of_left(request.retention);
+        let mut ballots = poll.ballots.clone();
+        ballots.push(own);
+        ballots.extend(left.into_iter().map(absent));
+        GrantTally::count(&ballots, &local.domain)
+    }
+
     /// Claims a program for this daemon; returns `None` on success, otherwise the reason
     /// why this daemon may not make offline grants.
     fn try_claim(&self, program: &ProgramKey) -> Option<GrantOutcome> {
         let own = &self.peers.local.incarnation;
-        let mut claims = self.claims.lock();
+        let mut claims = self.claims();
         let claim = claims.claim_mut(program, self.clock.mono());
         if claim.try_acquire(own) {
             return None;
@@ -190,9 +204,22 @@
         Some(holder.map_or(GrantOutcome::Denied, GrantOutcome::HeldBy))
     }
 
-    /// Whether this daemon remembers claims, which may be unknown to all other daemons.
-    pub fn has_claims(&self) -> bool {
-        !self.claims.lock().is_empty()
+    /// Hands the claims that this daemon remembers, which may be unknown to all other
+    /// daemons, to the next daemon of this VM through the store.
+    pub async fn hand_over_claims(&self) -> Result<(), StoreFailure> {
+        let claims = self.claims().held();
+        self.partitions.store_claims(claims).await
+    }
+
+    /// Claims on programs, including those that the last daemon of this VM handed over.
+    pub(super) fn claims(&self) -> MutexGuard<'_, GrantClaims> {
+        let mut claims = self.claims.lock();
+        for (program, holder) in self.partitions.take_inherited_claims() {
+            claims
+                .claim_mut(&program, self.clock.mono())
+                .restore(holder);
+        }
+        claims
     }
 
     /// Offline grants of this daemon for a program.
@@ -205,7 +232,7 @@
     fn add_grant(&self, program: &ProgramKey, tokens: u64) -> bool {
         // The lock on the claims makes sure that a daemon that disables offline grants
         // either learns of this grant or prevents it.
-        let mut claims = self.claims.lock();
+        let mut claims = self.claims();
         let claim = claims.claim_mut(program, self.clock.mono());
         if !claim.try_acquire(&self.peers.local.incarnation) {
             return false;
@@ -241,8 +268,7 @@
         let claimant = self.peers.local.incarnation.clone();
         self.withdraw_claim(program, &claimant);
         if let Some(other) = other {
-            self.claims
-                .lock()
+            self.claims()
                 .claim_mut(program, self.clock.mono())
                 .yield_to(other.clone());
         }
@@ -256,8 +282,7 @@
 
     /// Ends a daemon's claim on which no grant was made.
     pub fn withdraw_claim(&self, program: &ProgramKey, claimant: &Incarnation) {
-        self.claims
-            .lock()
+        self.claims()
             .claim_mut(program, self.clock.mono())
             .withdraw(claimant);
     }
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -244,7 +244,7 @@
         let granted: Vec<ProgramKey> = self.grants.lock().keys().cloned().collect();
         let is_retained = |p: &ProgramKey| has_account(p) || granted.contains(p);
         let before = self.clock.before(span);
-        self.claims.lock().expire(before, is_retained);
+        self.claims().expire(before, is_retained);
     }
 
     /// Returns the account of a program, creating it if there is none.
@@ -403,9 +403,9 @@
     /// allocations must leave for past offline grants, or `None` if not all daemons agreed or
     /// a claim may have been lost.
     fn disable_own_grants(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> Option<u64> {
-        let recent_starts = self.peers.recent_starts(request.retention);
+        let forgetful = self.peers.forgetful(request.retention);
         let local_claim = {
-            let mut claims = self.claims.lock();
+            let mut claims = self.claims();
             let claim = claims.claim_mut(request.program, self.clock.mono());
             claim.grants_disabled = true;
             claim.holder.clone()
@@ -422,8 +422,9 @@
         let agreement = GrantAgreement {
             daemons: poll.asked + 1,
             agreed: poll.responded + usize::from(has_loaded_members),
-            recently_started: recent_starts.daemons,
-            has_recently_started_domain: recent_starts.has_whole_domain,
+            recently_started: forgetful.daemons,
+            recently_left: forgetful.left,
+            has_recently_started_domain: forgetful.has_whole_domain,
             unrecorded: poll.unrecorded_grants + self.offline_grants(request.program).unrecorded,
             ended: claimants.filter(has_ended).collect(),
         };
@@ -460,14 +461,17 @@
                 (quota.release(requested), *quota)
             }
         };
-        let mut claims = self.claims.lock();
+        let mut claims = self.claims();
         let claim = claims.claim_mut(program, self.clock.mono());
         let denies_grant = match purpose {
             Purpose::Record => {
                 claim.grants_disabled = true;
                 false
             }
-            Purpose::Grant => !claim.try_acquire(&sender),
+            // Claims that were handed over to this daemon are known once the records are read.
+            Purpose::Grant => {
+                !self.partitions.has_read_allocations(program) || !claim.try_acquire(&sender)
+            }
             Purpose::Share => false,
         };
         let is_own = |daemon: &Incarnation| *daemon == self.peers.local.incarnation;
--- a/kingcupspan/src/gateway/ledger/peer_poll.rs
+++ b/kingcupspan/src/gateway/ledger/peer_poll.rs
@@ -1,6 +1,9 @@
 //! Polls the other daemons about the tokens of a program.
 
-use kingcupspan_core::gateway::{allocation::LocalQuota, grant::ClaimReport};
+use kingcupspan_core::gateway::{
+    allocation::LocalQuota,
+    grant::{Ballot, ClaimReport, Vote},
+};
 
 use super::{Account, Ledger, TokenRequest};
 use crate::gateway::peers::{Peer, PeerRequest, PeerResponse, Purpose};
@@ -11,14 +14,11 @@
     /// Number of daemons asked.
     pub(super) asked: usize,
 
-    /// Number of daemons asked in this daemon's failure domain.
-    pub(super) asked_same_domain: usize,
-
     /// Number of daemons that responded.
     pub(super) responded: usize,
 
-    /// Number of daemons that responded in this daemon's failure domain.
-    pub(super) responded_same_domain: usize,
+    /// Votes of the daemons on an offline grant.
+    pub(super) ballots: Vec<Ballot>,
 
     /// Unused tokens that the daemons handed over.
     pub(super) received: u64,
@@ -38,10 +38,16 @@
 }
 
 impl PeerPoll {
-    /// Adds the response of a daemon; `None` if it did not respond.
-    fn add(&mut self, is_same_domain: bool, response: Option<PeerResponse>) {
+    /// Adds the response of a daemon, `None` if it did not respond; `vote` is what its vote
+    /// counts if it agrees to an offline grant.
+    fn add(&mut self, domain: String, vote: Vote, response: Option<PeerResponse>) {
         self.asked += 1;
-        self.asked_same_domain += usize::from(is_same_domain);
+        let vote = match (&response, vote) {
+            (_, Vote::New) => Vote::New,
+            (Some(response), vote) if response.agrees_to_grant() => vote,
+            _ => Vote::Missing,
+        };
+        self.ballots.push(Ballot { domain, vote });
         let Some(PeerResponse::Released {
             tokens,
             remaining_quota,
@@ -54,7 +60,6 @@
             return;
         };
         self.responded += 1;
-        self.responded_same_domain += usize::from(is_same_domain);
         self.received += tokens;
         self.unrecorded_grants += unrecorded_grants;
         self.claims.extend(claim);
@@ -89,7 +94,8 @@
                     .lock()
                     .insert(peer.incarnation.clone());
             }
-            poll.add(peer.domain == self.peers.local.domain, response.ok());
+            let vote = self.peers.vote(&peer, request.retention);
+            poll.add(peer.domain, vote, response.ok());
         }
         poll
     }
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    mem,
     sync::Arc,
     time::Duration,
 };
@@ -68,6 +69,10 @@
     /// Offline grants are disabled for the program.
     #[serde(rename = "Closed")]
     GrantsDisabled(ProgramKey),
+
+    /// A claim on the program, with its holder, that the last daemon of the named VM
+    /// remembered.
+    Claim(ProgramKey, Incarnation, String),
 }
 
 /// Identifies a partition of the gateway's own topics.
@@ -86,6 +91,10 @@
 /// The gateway's partitions in the store, and the state read from them.
 pub struct Partitions {
     clock: Clock,
+
+    /// Name of this daemon's VM.
+    vm: String,
+
     store: Arc<Store>,
     topics: Arc<[String]>,
     group_commit: Arc<GroupCommit>,
@@ -98,6 +107,12 @@
     expiry: Mutex<HashMap<PartitionId, TurnExpiry>>,
     turns: Mutex<TurnCache>,
     allocations: Mutex<Allocations>,
+
+    /// Claims that the last daemon of this VM handed over and that were not taken yet.
+    inherited_claims: Mutex<Vec<(ProgramKey, Incarnation)>>,
+
+    /// Records of all claims that the last daemon of this VM handed over.
+    claim_records: Mutex<Vec<(PartitionId, String)>>,
 }
 
 impl Partitions {
@@ -106,6 +121,7 @@
         store: Arc<Store>,
         partitions_per_topic: u32,
         cache_bytes: usize,
+        vm: String,
         clock: Clock,
     ) -> Self {
         let name = |i| store::keyed_topic(&format!("turns-{i}"));
@@ -114,6 +130,7 @@
         let topics: Arc<[String]> = topics.into();
         Self {
             clock,
+            vm,
             group_commit: Arc::new(GroupCommit::new(Arc::clone(&store), Arc::clone(&topics))),
             store,
             topics,
@@ -123,6 +140,8 @@
             expiry: Mutex::default(),
             turns: Mutex::new(TurnCache::new(cache_bytes)),
             allocations: Mutex::default(),
+            inherited_claims: Mutex::default(),
+            claim_records: Mutex::default(),
         }
     }
 
@@ -301,12 +320,56 @@
         &self,
         allocations: Vec<(ProgramKey, AllocationId, u64)>,
     ) -> Result<(), StoreFailure> {
-        let appends: Vec<_> = allocations
-            .into_iter()
-            .map(|(program, id, tokens)| {
+        let record = |(program, id, tokens): (ProgramKey, AllocationId, u64)| {
+            let partition = self.partition_of_program(&program);
+            (partition, allocation_record(program, id, tokens).0)
+        };
+        self.append_all(allocations.into_iter().map(record)).await
+    }
+
+    /// Hands claims on programs to the next daemon of this VM.
+    pub async fn store_claims(
+        &self,
+        claims: Vec<(ProgramKey, Incarnation)>,
+    ) -> Result<(), StoreFailure> {
+        let record = |(program, holder): (ProgramKey, Incarnation)| {
+            let partition = self.partition_of_program(&program);
+            let record = Record {
+                key: key(&format!("claim/{}/{program}", self.vm)),
+                value: Some(encode(&StoredRecord::Claim(
+                    program,
+                    holder,
+                    self.vm.clone(),
+                ))),
+            };
+            (partition, record)
+        };
+        self.append_all(claims.into_iter().map(record)).await
+    }
+
+    /// Takes the claims that the last daemon of this VM handed over and that were read
+    /// since the last call.
+    pub fn take_inherited_claims(&self) -> Vec<(ProgramKey, Incarnation)> {
+        mem::take(&mut self.inherited_claims.lock())
+    }
+
+    /// Deletes the records of the claims that this daemon has read.
+    pub async fn delete_inherited_claims(&self) {
+        let records = mem::take(&mut *self.claim_records.lock());
+        let deletion = |(partition, key)| (partition, Record { key, value: None });
+        if let Err(e) = self.append_all(records.into_iter().map(deletion)).await {
+            log::warn!(error = e.to_string().as_str(); "failed to delete claims that were handed over; the next start reads them again");
+        }
+    }
+
+    /// Appends records of several partitions.
+    async fn append_all(
+        &self,
+        records: impl Iterator<Item = (PartitionId, Record)>,
+    ) -> Result<(), StoreFailure> {
+        let appends: Vec<_> = records
+            .map(|(partition, record)| {
                 let group_commit = Arc::clone(&self.group_commit);
-                let partition = self.partition_of_program(&program);
-                let (record, _) = allocation_record(program, id, tokens);
                 // All appends are started before the first one is awaited.
                 task::spawn(async move { group_commit.append(partition, record).await })
             })
@@ -434,8 +497,14 @@
         };
         match rmp_serde::from_slice(value) {
             Ok(stored) => {
-                if let StoredRecord::Turn(_, turn, written) = &stored {
-                    self.track_expiry(id, &record.key, turn, *written);
+                match &stored {
+                    StoredRecord::Turn(_, turn, written) => {
+                        self.track_expiry(id, &record.key, turn, *written);
+                    }
+                    StoredRecord::Claim(_, _, vm) if *vm == self.vm => {
+                        self.claim_records.lock().push((id, record.key.clone()));
+                    }
+                    _ => {}
                 }
                 self.apply(stored);
             }
@@ -459,6 +528,11 @@
                     .lock()
                     .disable_offline_grants(&program, self.clock.mono());
             }
+            StoredRecord::Claim(program, holder, vm) => {
+                if vm == self.vm {
+                    self.inherited_claims.lock().push((program, holder));
+                }
+            }
         }
     }
 }
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -8,7 +8,7 @@
 use crate::{
     edge::server::{self, Exchange},
     gateway::{
-        peers::{PeerRequest, PeerResponse},
+        peers::{INCARNATION_HEADER, PeerRequest, PeerResponse},
         serve::Gateway,
     },
 };
@@ -39,6 +39,7 @@
     // Responses consist of numbers, strings and bytes, which always encode.
     let bytes = rmp_serde::to_vec(&respond(&service, request).await).expect("responses encode");
     let mut res = Response::new(200);
+    res.insert_header(INCARNATION_HEADER, &*service.peers.local.incarnation.0);
     res.set_body(bytes);
     res
 }
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -16,7 +16,7 @@
         allocation::LocalQuota,
         call::{ProgramKey, RequestId},
         crash_tracker::Crash,
-        grant::{ClaimReport, Incarnation},
+        grant::{ClaimReport, Incarnation, Vote},
         history::Turn,
     },
     id::WallMs,
@@ -46,6 +46,9 @@
 /// Maximum difference between the clocks of two VMs, including clock steps.
 const CLOCK_SKEW_MAX: Duration = Duration::from_secs(10);
 
+/// Header of a peer's response that names the incarnation that responds.
+pub const INCARNATION_HEADER: &str = "x-incarnation";
+
 /// Maximum size of a peer's response, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -67,28 +70,61 @@
     /// Time at which the daemon was started.
     pub started: WallMs,
 
-    /// Whether the daemon was started together with the whole system, before any request.
-    pub is_founding: bool,
+    /// Whether the daemon lacks nothing that daemons have put into memory before its start:
+    /// it was started together with the whole system, before any request, or its last run
+    /// has left nothing behind.
+    pub has_complete_state: bool,
 }
 
 impl Peer {
-    /// Whether the daemon was started within the last `span`, so that it may lack state
-    /// that daemons have put into memory within that time. A founding daemon lacks none:
-    /// there was no state before its start.
-    fn is_recently_started(&self, now: WallMs, span: Duration) -> bool {
-        let span = span + CLOCK_SKEW_MAX;
-        let age = now.0.saturating_sub(self.started.0);
-        !self.is_founding && age <= span.as_millis() as u64
+    /// Whether the daemon may lack state that daemons have put into memory within the last
+    /// `span`, because it was started within that time.
+    fn is_forgetful(&self, now: WallMs, span: Duration) -> bool {
+        !self.has_complete_state && is_recent(self.started, now, span)
     }
 }
 
-/// Recently started daemons, which may lack state that others hold only in memory.
+/// Entry of a VM, which remains in the store when the VM's daemon leaves the member list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Failure domain of the VM.
+    pub domain: String,
+
+    /// Time at which the first daemon of the VM was started.
+    pub first_started: WallMs,
+
+    /// Graceful shutdown of the VM's daemon; `None` once the VM has started another one.
+    pub shutdown: Option<GracefulShutdown>,
+}
+
+/// Graceful shutdown of a daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GracefulShutdown {
+    /// Time of the shutdown.
+    pub at: WallMs,
+
+    /// Whether the next daemon of the VM has complete state: this one has put everything
+    /// into the store that other daemons may still need.
+    pub is_complete: bool,
+}
+
+/// Whether a time on some VM's clock lies within the last `span`.
+fn is_recent(at: WallMs, now: WallMs, span: Duration) -> bool {
+    let span = span + CLOCK_SKEW_MAX;
+    now.0.saturating_sub(at.0) <= span.as_millis() as u64
+}
+
+/// Daemons that may lack state that others hold only in memory, since they were started
+/// recently.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RecentStarts {
-    /// Number of recently started daemons.
+pub struct ForgetfulDaemons {
+    /// Number of these daemons.
     pub daemons: usize,
 
-    /// Whether all daemons of some failure domain were started recently.
+    /// Number of daemons that have left recently.
+    pub left: usize,
+
+    /// Whether there is a failure domain in which all daemons are of these two kinds.
     pub has_whole_domain: bool,
 }
 
@@ -248,6 +284,20 @@
     Called(Option<(u16, Vec<u8>)>),
 }
 
+impl PeerResponse {
+    /// Whether the peer agrees to an offline grant by the sender of the request.
+    pub fn agrees_to_grant(&self) -> bool {
+        match self {
+            Self::Released {
+                denies_grant,
+                reaches_store,
+                ..
+            } => !denies_grant && !reaches_store,
+            _ => false,
+        }
+    }
+}
+
 /// Error returned when a request to a peer fails.
 #[derive(Debug, thiserror::Error)]
 pub enum PeerError {
@@ -262,6 +312,11 @@
     /// The response cannot be decoded.
     #[error("cannot decode the peer's response")]
     Malformed,
+
+    /// The peer has been restarted since this daemon read the member list; it may lack
+    /// what the former run held in memory.
+    #[error("peer has been restarted")]
+    Restarted,
 }
 
 /// The known daemons, and a client for sending requests to peers.
@@ -275,8 +330,14 @@
     /// Daemons of the member list by VM, including this one.
     members: RwLock<HashMap<String, Peer>>,
 
+    /// Entries of all VMs that have run a daemon.
+    vms: RwLock<HashMap<String, VmEntry>>,
+
     has_loaded_members: AtomicBool,
 
+    /// Whether this daemon has complete state, see [`Peer::has_complete_state`].
+    has_complete_state: AtomicBool,
+
     /// VMs whose daemons did not respond to the last request, with the time of that request.
     unresponsive: Mutex<HashMap<String, Instant>>,
 
@@ -288,10 +349,12 @@
     /// Creates the state of a daemon that knows no peers yet.
     pub fn new(local: Peer, clock: Clock) -> Self {
         Self {
+            has_complete_state: AtomicBool::new(local.has_complete_state),
             local,
             clock,
             client: Client::default(),
             members: RwLock::default(),
+            vms: RwLock::default(),
             has_loaded_members: AtomicBool::default(),
             unresponsive: Mutex::default(),
             last_responses: Mutex::default(),
@@ -396,21 +459,83 @@
             .cloned()
     }
 
-    /// Counts the daemons, including this one, that were started within the last `span`.
-    pub fn recent_starts(&self, span: Duration) -> RecentStarts {
+    /// Wall-clock time of this daemon.
+    pub fn now(&self) -> WallMs {
+        self.clock.wall()
+    }
+
+    /// Member list entry of this daemon in its current state.
+    pub fn local_entry(&self) -> Peer {
+        Peer {
+            has_complete_state: self.has_complete_state.load(Ordering::Relaxed),
+            ..self.local.clone()
+        }
+    }
+
+    /// Records that the last run of this VM has left nothing behind.
+    pub fn mark_state_complete(&self) {
+        self.has_complete_state.store(true, Ordering::Relaxed);
+    }
+
+    /// Counts the daemons, including this one, that may lack state that daemons have put
+    /// into memory within the last `span`.
+    pub fn forgetful(&self, span: Duration) -> ForgetfulDaemons {
         let now = self.clock.wall();
         let mut all = self.others();
-        all.push(self.local.clone());
-        let (recent, older): (Vec<Peer>, Vec<Peer>) = all
-            .into_iter()
-            .partition(|p| p.is_recently_started(now, span));
-        let has_older = |p: &Peer| older.iter().any(|o| o.domain == p.domain);
-        RecentStarts {
-            daemons: recent.len(),
-            has_whole_domain: !recent.iter().all(has_older),
+        all.push(self.local_entry());
+        let (forgetful, others): (Vec<Peer>, Vec<Peer>) =
+            all.into_iter().partition(|p| p.is_forgetful(now, span));
+        let left = self.domains_of_left(span);
+        let has_other = |domain: &String| others.iter().any(|o| o.domain == *domain);
+        let mut domains = left.iter().chain(forgetful.iter().map(|p| &p.domain));
+        ForgetfulDaemons {
+            daemons: forgetful.len(),
+            left: left.len(),
+            has_whole_domain: !domains.all(has_other),
         }
     }
 
+    /// Classifies the vote of a daemon that agrees to an offline grant, by what it may have
+    /// forgotten of the last `span`.
+    pub fn vote(&self, peer: &Peer, span: Duration) -> Vote {
+        let now = self.clock.wall();
+        if !peer.is_forgetful(now, span) {
+            return Vote::Agrees;
+        }
+        let vms = self.vms.read();
+        let first_started = vms.get(&peer.vm).map(|v| v.first_started);
+        match first_started.is_some_and(|at| is_recent(at, now, span)) {
+            true => Vote::New,
+            false => Vote::Missing,
+        }
+    }
+
+    /// Failure domains of the VMs whose daemons have left within the last `span`, one for
+    /// each VM that has not started another daemon.
+    pub fn domains_of_left(&self, span: Duration) -> Vec<String> {
+        let now = self.clock.wall();
+        let vms = self.vms.read();
+        let has_left = |v: &&VmEntry| {
+            v.shutdown
+                .as_ref()
+                .is_some_and(|s| is_recent(s.at, now, span))
+        };
+        vms.values()
+            .filter(has_left)
+            .map(|v| v.domain.clone())
+            .collect()
+    }
+
+    /// Entry of this daemon's VM; `None` before the VM's first start.
+    pub fn local_vm(&self) -> Option<VmEntry> {
+        self.vms.read().get(&self.local.vm).cloned()
+    }
+
+    /// Whether this daemon's VM is in the member list.
+    pub fn is_listed(&self) -> bool {
+        self.members.read().contains_key(&self.local.vm)
+    }
+
     /// Sends a request to a peer, unless the peer recently did not respond.
     pub async fn send(
         &self,
@@ -421,7 +546,8 @@
             return Err(PeerError::Unresponsive);
         }
         let response = self.exchange(peer, request).await;
-        self.record_outcome(peer, response.is_ok());
+        let has_responded = matches!(response, Ok(_) | Err(PeerError::Restarted));
+        self.record_outcome(peer, has_responded);
         response
     }
 
@@ -437,11 +563,17 @@
             ClientRequest::post(peer.addr, "/ask", body).timeouts(Timeouts::all(REQUEST_TIMEOUT));
         let response = async {
             let reply = self.client.send(out).await?;
-            reply.bytes(RESPONSE_MAX_BYTES).await
+            let is_same_run = reply
+                .header(INCARNATION_HEADER)
+                .is_none_or(|i| i == &*peer.incarnation.0);
+            Ok((reply.bytes(RESPONSE_MAX_BYTES).await?, is_same_run))
         };
-        let bytes = response
+        let (bytes, is_same_run) = response
             .await
-            .inspect_err(|_| self.client.close_idle_connections(peer.addr))?;
+            .inspect_err(|_: &SendError| self.client.close_idle_connections(peer.addr))?;
+        if !is_same_run {
+            return Err(PeerError::Restarted);
+        }
         rmp_serde::from_slice(&bytes).map_err(|_| PeerError::Malformed)
     }
 
@@ -488,4 +620,12 @@
     pub fn remove(&self, vm: &str) {
         self.members.write().remove(vm);
     }
+
+    /// Adds or updates the entry of a VM, which tells whether its daemon has left.
+    pub fn insert_vm(&self, vm: &str, entry: VmEntry) {
+        if entry.shutdown.is_some() {
+            self.remove(vm);
+        }
+        self.vms.write().insert(vm.to_owned(), entry);
+    }
 }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -83,7 +83,7 @@
         addr: settings.peer_addr,
         domain: settings.domain.clone(),
         started: clock.wall(),
-        is_founding: settings.is_first_start,
+        has_complete_state: settings.is_first_start,
     };
     let peers = Arc::new(Peers::new(own_entry, clock));
     let store = Arc::new(Store::new(settings.store.addr, Arc::clone(&peers)));
@@ -95,6 +95,7 @@
         Arc::clone(&store),
         settings.store.partitions,
         cache_bytes,
+        settings.vm.clone(),
         clock,
     );
     let partitions = Arc::new(partitions);
@@ -115,7 +116,10 @@
     ));
     task::spawn(Arc::clone(&peers).monitor_domains());
     let allocation_reader = Arc::clone(&partitions);
-    task::spawn(async move { allocation_reader.read_allocations().await });
+    task::spawn(async move {
+        allocation_reader.read_allocations().await;
+        allocation_reader.delete_inherited_claims().await;
+    });
     let blocked_requests = Arc::new(BlockedRequests::new(clock));
     let (crash_sender, observed_crashes) = async_channel::unbounded();
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
@@ -168,12 +172,16 @@
     log::info!("stopping");
     gateway.shutdown.run(grace).await;
     gateway.ledger.return_all_unused().await;
-    if gateway.ledger.has_claims() {
+    match gateway.ledger.hand_over_claims().await {
+        Ok(()) => {
+            let is_complete = !gateway.backlog.has_unstored_turns();
+            gateway.membership.leave(is_complete).await;
+        }
         // The other daemons must poll this one before they rely on the recorded
         // allocations, so it stays in the list of daemons.
-        log::info!("staying in the list of daemons: this daemon remembers grant claims");
-    } else {
-        gateway.membership.leave().await;
+        Err(e) => {
+            log::warn!(error = e.to_string().as_str(); "cannot store the grant claims that this daemon remembers; staying in the list of daemons");
+        }
     }
     log::info!(under_way = gateway.shutdown.in_flight(); "stopped");
 }
@@ -234,7 +242,7 @@
         "configuration": gateway.configuration.get(),
         "endpoints": endpoints,
         "turns_in_memory": gateway.partitions.cached_turn_count(),
-        "turns_not_stored": gateway.backlog.len(),
+        "turns_not_stored": gateway.backlog.queued_turns(),
         "requests_under_way": gateway.shutdown.in_flight(),
         "stopping": gateway.shutdown.is_stopping()
     });
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -59,6 +59,28 @@
     );
 }
 
+#[async_std::test]
+async fn whole_budget_is_available_after_all_daemons_were_restarted_gracefully() {
+    let mut fleet = Fleet::start("gateway-rolling-budget", 3, 2_000).await;
+    fleet.restart_all_gracefully().await;
+    let mut tokens = 0;
+    let mut last_status = 200;
+    for round in 0..60 {
+        let turn = Request::turn("p", &format!("t{round}"), None, 700);
+        let response = fleet.send(round % 3, &turn).await;
+        tokens += 10 * response.body.matches("data: ").count();
+        last_status = response.status;
+        if last_status != 200 {
+            break;
+        }
+    }
+    assert_eq!(last_status, 402);
+    assert!(
+        (600..=800).contains(&tokens),
+        "received {tokens} tokens; the limit is the budget of 700 plus one turn of 100"
+    );
+}
+
 #[async_std::test]
 async fn graceful_shutdown_returns_unused_tokens() {
     let mut fleet = Fleet::start("gateway-return", 2, 2_000).await;
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -183,6 +183,16 @@
             .expect("the daemon has a log file")
     }
 
+    /// Restarts all daemons one after another, each after a graceful shutdown.
+    pub async fn restart_all_gracefully(&mut self) {
+        for daemon in 0..self.daemons.len() {
+            self.daemons[daemon].terminate();
+            assert_eq!(self.daemons[daemon].wait_for_exit().await, Some(0));
+            self.restart(daemon);
+            self.wait_until_ready().await;
+        }
+    }
+
     /// Restarts a daemon that has ended; its settings no longer describe the first start of
     /// the system.
     pub fn restart(&mut self, daemon: usize) {
--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -55,6 +55,60 @@
     }
 }
 
+#[async_std::test]
+async fn small_budget_lasts_for_several_turns_while_the_store_is_unavailable() {
+    let fleet = Fleet::start("gateway-small-budget", 3, 4_000).await;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    // Each turn reserves 100 tokens and uses 20, so that a quarter of the limit of 300
+    // does not even suffice for one turn, and half of it only if unused tokens are shared.
+    for (daemon, turn) in ["t1", "t2", "t3"].into_iter().enumerate() {
+        let response = fleet
+            .send(daemon, &Request::turn("p", turn, None, 200))
+            .await;
+        assert_eq!(response.status, 200, "turn {turn}: {response:?}");
+    }
+}
+
+#[async_std::test]
+async fn tokens_are_granted_offline_after_all_daemons_were_restarted_gracefully() {
+    let mut fleet = Fleet::start("gateway-rolling-outage", 3, 4_000).await;
+    fleet.restart_all_gracefully().await;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    let response = fleet.send(0, &Request::turn("p", "t1", None, 3_000)).await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
+#[async_std::test]
+async fn claims_are_remembered_after_all_daemons_were_restarted_gracefully() {
+    let mut fleet = Fleet::start("gateway-handover", 3, 4_000).await;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    let granted = fleet.send(0, &Request::turn("p", "t1", None, 3_000)).await;
+    assert_eq!(granted.status, 200, "{granted:?}");
+    fleet.store.set_behavior(StoreBehavior::Available);
+    task::sleep(Duration::from_millis(1_000)).await;
+    fleet.restart_all_gracefully().await;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    // The daemon that made the grant has ended, so nobody knows what it granted.
+    let refused = fleet.send(1, &Request::turn("p", "t2", None, 3_000)).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    let other_program = fleet.send(1, &Request::turn("q", "u1", None, 3_000)).await;
+    assert_eq!(other_program.status, 200, "{other_program:?}");
+}
+
+#[async_std::test]
+async fn daemons_that_may_have_forgotten_a_grant_make_no_further_ones() {
+    let mut fleet = Fleet::start("gateway-forgotten-grant", 3, 4_000).await;
+    for daemon in 0..2 {
+        fleet.daemons[daemon].kill();
+        fleet.restart(daemon);
+    }
+    fleet.wait_until_ready().await;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    let response = fleet.send(2, &Request::turn("p", "t1", None, 3_000)).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.retry_after.is_some());
+}
+
 #[async_std::test]
 async fn missing_turn_is_reported_as_unknown_unless_a_replica_may_be_lost() {
     let mut fleet = Fleet::start("gateway-unknown", 1, 2_000).await;
--- a/kingcupspan_core/src/gateway/allocation.rs
+++ b/kingcupspan_core/src/gateway/allocation.rs
@@ -111,22 +111,28 @@
     limit / 2
 }
 
-/// Returns the maximum number of tokens that the daemons on one side of a network
-/// partition may grant offline.
-///
-/// Both sides together stay within the part of the limit above
-/// [`recorded_allocation_limit`].
+/// Returns the maximum number of tokens that all daemons together may grant offline.
 pub fn offline_grant_limit(limit: u64) -> u64 {
-    limit / 4
+    limit - recorded_allocation_limit(limit)
+}
+
+/// Returns the maximum number of tokens that the daemons of a failure domain may grant
+/// offline while it is cut off from all others.
+///
+/// Two such domains together stay within [`offline_grant_limit`].
+pub fn cut_off_grant_limit(limit: u64) -> u64 {
+    offline_grant_limit(limit) / 2
 }
 
-/// Returns the number of tokens of an offline grant when `missing` are needed and the
-/// daemon has granted itself `granted` before.
+/// Returns the number of tokens of an offline grant when `missing` are needed, the daemon
+/// has granted itself `granted` before and may grant itself `max_grant` in total; `None`
+/// if too few are left.
 ///
 /// A grant takes all tokens still permitted, because each grant needs the agreement of
 /// a majority of the daemons.
-pub fn offline_grant_size(missing: u64, granted: u64, limit: u64) -> u64 {
-    missing.max(offline_grant_limit(limit).saturating_sub(granted))
+pub fn offline_grant_size(missing: u64, granted: u64, max_grant: u64) -> Option<u64> {
+    let permitted = max_grant.saturating_sub(granted);
+    (permitted >= missing).then_some(permitted)
 }
 
 /// Returns the number of tokens to allocate when `missing` are needed and `total` are
--- a/kingcupspan_core/src/gateway/grant.rs
+++ b/kingcupspan_core/src/gateway/grant.rs
@@ -10,7 +10,7 @@
 //! and is valid only if no claim can have been forgotten.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -18,7 +18,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    gateway::{allocation::offline_grant_limit, call::ProgramKey},
+    gateway::{
+        allocation::{cut_off_grant_limit, offline_grant_limit},
+        call::ProgramKey,
+    },
     id::MonoMs,
 };
 
@@ -54,6 +57,11 @@
         self.holder = Some(other);
     }
 
+    /// Restores the claim that an earlier daemon of the same VM remembered.
+    pub fn restore(&mut self, holder: Incarnation) {
+        self.holder.get_or_insert(holder);
+    }
+
     /// Removes the claim of a daemon that has made no grants.
     pub fn withdraw(&mut self, daemon: &Incarnation) {
         if self.holder.as_ref() == Some(daemon) {
@@ -81,6 +89,14 @@
         self.0.values().all(|(c, _)| c.holder.is_none())
     }
 
+    /// All claims, with their programs and holders.
+    pub fn held(&self) -> Vec<(ProgramKey, Incarnation)> {
+        let held = |(p, (c, _)): (&ProgramKey, &(GrantClaim, MonoMs))| {
+            Some((p.clone(), c.holder.clone()?))
+        };
+        self.0.iter().filter_map(held).collect()
+    }
+
     /// Removes claims that were not accessed since `before`, except for programs for which
     /// `is_kept` returns true.
     pub fn expire(&mut self, before: MonoMs, is_kept: impl Fn(&ProgramKey) -> bool) {
@@ -88,20 +104,95 @@
     }
 }
 
-/// Conditions checked before a daemon makes an offline grant.
+/// Vote of one daemon on an offline grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Vote {
+    /// The daemon responded, knows no claim of another daemon and has forgotten none.
+    Agrees,
+
+    /// The daemon did not respond, does not agree or may have forgotten a claim.
+    Missing,
+
+    /// The daemon's VM is new, so that no earlier vote can have counted on it.
+    New,
+}
+
+/// Vote of one daemon, with the daemon's failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ballot {
+    /// Failure domain of the daemon.
+    pub domain: String,
+
+    /// The vote.
+    pub vote: Vote,
+}
+
+/// Votes of some daemons on an offline grant, counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct GrantConditions {
-    /// Number of other daemons that were asked.
-    pub asked: usize,
+pub struct GrantVotes {
+    /// Number of daemons.
+    pub daemons: usize,
 
-    /// Number of other daemons that agreed.
+    /// Number of daemons that agreed.
     pub agreed: usize,
+}
 
-    /// Number of other daemons in this daemon's failure domain that were asked.
-    pub asked_same_domain: usize,
+impl GrantVotes {
+    /// Adds the vote of one daemon.
+    fn add(&mut self, vote: Vote) {
+        self.daemons += 1;
+        self.agreed += usize::from(vote == Vote::Agrees);
+    }
+
+    /// Whether more than half of the daemons agreed.
+    fn is_majority(self) -> bool {
+        self.agreed * 2 > self.daemons
+    }
 
-    /// Number of other daemons in this daemon's failure domain that agreed.
-    pub agreed_same_domain: usize,
+    /// Whether all daemons agreed, and there is one at least.
+    fn is_unanimous(self) -> bool {
+        self.agreed > 0 && self.agreed == self.daemons
+    }
+}
+
+/// Result of a vote on an offline grant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GrantTally {
+    /// Votes of all daemons.
+    pub all: GrantVotes,
+
+    /// Votes of the daemons in the failure domain of the daemon that wants the grant,
+    /// without those of new VMs.
+    pub same_domain: GrantVotes,
+
+    /// Number of failure domains in which no daemon agreed.
+    pub silent_domains: u64,
+}
+
+impl GrantTally {
+    /// Counts the votes of all daemons, including the daemon in `own_domain` that wants
+    /// the grant and the daemons that have left recently.
+    pub fn count(ballots: &[Ballot], own_domain: &str) -> Self {
+        let mut tally = Self::default();
+        let mut domains: BTreeMap<&str, GrantVotes> = BTreeMap::new();
+        for ballot in ballots {
+            tally.all.add(ballot.vote);
+            let domain = domains.entry(&ballot.domain).or_default();
+            if ballot.vote != Vote::New {
+                domain.add(ballot.vote);
+            }
+        }
+        tally.same_domain = domains.get(own_domain).copied().unwrap_or_default();
+        tally.silent_domains = domains.values().filter(|v| v.agreed == 0).count() as u64;
+        tally
+    }
+}
+
+/// Conditions checked before a daemon makes an offline grant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GrantConditions {
+    /// Votes of all daemons, including this one.
+    pub tally: GrantTally,
 
     /// Whether another daemon has claimed the program or reaches the store.
     pub is_denied: bool,
@@ -117,26 +208,32 @@
 
     /// Whether the program's records disable offline grants.
     pub grants_disabled: bool,
-
-    /// Total of the tokens that this daemon would have granted itself for the program,
-    /// including the new grant.
-    pub total_granted: u64,
 }
 
 impl GrantConditions {
-    /// Whether the daemon may make the offline grant.
+    /// Returns the total of the tokens that the daemon may grant itself for the program.
     ///
     /// A daemon that has just started may be the only one that does not know that
     /// allocations may already use the whole limit. It therefore makes no grant before
-    /// it has read the records, and none without the agreement of another daemon.
-    pub fn may_grant(&self, limit: u64) -> bool {
-        let is_majority = (self.agreed + 1) * 2 > self.asked + 1;
-        let is_domain_unanimous =
-            self.asked_same_domain > 0 && self.agreed_same_domain == self.asked_same_domain;
-        let is_agreed = is_majority || (self.is_cut_off && is_domain_unanimous);
-        let is_within_limit = self.total_granted <= offline_grant_limit(limit);
+    /// it has read the records.
+    ///
+    /// Any two majorities have a daemon in common, which knows the claim that the first
+    /// of them agreed to. A majority with a daemon of each failure domain also has one
+    /// in common with all daemons of any failure domain. Tokens are left only for
+    /// failure domains without a vote, which may be cut off and make grants of their own.
+    pub fn max_grant(&self, limit: u64) -> u64 {
         let has_read_state = self.has_member_list && self.has_read_records;
-        has_read_state && !self.grants_disabled && !self.is_denied && is_agreed && is_within_limit
+        if !has_read_state || self.grants_disabled || self.is_denied {
+            return 0;
+        }
+        if self.tally.all.is_majority() {
+            let left_for_others = self.tally.silent_domains * cut_off_grant_limit(limit);
+            return offline_grant_limit(limit).saturating_sub(left_for_others);
+        }
+        if self.is_cut_off && self.tally.same_domain.is_unanimous() {
+            return cut_off_grant_limit(limit);
+        }
+        0
     }
 }
 
@@ -179,7 +276,10 @@
     /// program.
     pub recently_started: usize,
 
-    /// Whether there is a failure domain in which all daemons started so recently.
+    /// Number of daemons that have left so recently that a claim may be known to them only.
+    pub recently_left: usize,
+
+    /// Whether there is a failure domain in which all daemons started or left so recently.
     pub has_recently_started_domain: bool,
 
     /// Tokens of offline grants that are not recorded yet.
@@ -195,10 +295,14 @@
     pub fn required_reserve(&self, limit: u64) -> Option<u64> {
         // A claim is known to a majority of the daemons or to all daemons of a failure
         // domain.
+        let unknown = self.recently_started + self.recently_left;
         let are_claims_remembered =
-            self.recently_started * 2 <= self.daemons && !self.has_recently_started_domain;
+            unknown * 2 <= self.daemons + self.recently_left && !self.has_recently_started_domain;
         let is_unanimous = self.agreed == self.daemons;
-        let granted_by_ended = self.ended.len() as u64 * offline_grant_limit(limit);
-        (is_unanimous && are_claims_remembered).then_some(self.unrecorded + granted_by_ended)
+        let reserve = match self.ended.is_empty() {
+            true => self.unrecorded,
+            false => offline_grant_limit(limit),
+        };
+        (is_unanimous && are_claims_remembered).then_some(reserve)
     }
 }
--- a/kingcupspan_core/tests/gateway/budget_spec.rs
+++ b/kingcupspan_core/tests/gateway/budget_spec.rs
@@ -3,19 +3,25 @@
 //!
 //! The model has two daemons in a failure domain that may be cut off, and one daemon
 //! outside of it. It uses the real limits, claims and agreements. Records are read after
-//! any delay, and partitions, outages and restarts occur at any time.
+//! any delay, and partitions, outages and restarts occur at any time; one daemon may be
+//! unresponsive, and daemons may leave and come back with or without what they knew.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::{BTreeSet, HashSet, VecDeque},
+    hash::{DefaultHasher, Hash, Hasher},
+    mem,
+};
 
 use kingcupspan_core::{
     gateway::{
         allocation::{self, AllocationId, Allocations, LocalQuota},
         call::ProgramKey,
-        grant::{GrantAgreement, GrantClaim, GrantConditions, Incarnation},
+        grant::{
+            Ballot, GrantAgreement, GrantClaim, GrantConditions, GrantTally, Incarnation, Vote,
+        },
     },
     id::MonoMs,
 };
-use pathfinding::directed::bfs;
 
 /// Tokens that all daemons together may hold.
 const LIMIT_TOKENS: u64 = 8;
@@ -35,6 +41,12 @@
     /// Maximum number of restarts of all daemons together.
     restarts: u8,
 
+    /// Maximum number of times that daemons leave after a graceful shutdown.
+    leaves: u8,
+
+    /// Whether one daemon at a time may be unresponsive.
+    has_unresponsive_daemon: bool,
+
     /// Whether other steps may occur between the agreement to a grant and the grant.
     has_delayed_grants: bool,
 }
@@ -42,13 +54,31 @@
 /// Bounds with enough restarts for all daemons to lose their state in memory.
 const RESTARTS: Bounds = Bounds {
     restarts: 3,
+    leaves: 0,
+    has_unresponsive_daemon: false,
     has_delayed_grants: false,
 };
 
+/// Bounds with an unresponsive daemon, so that daemons may miss what the others agree on.
+const UNRESPONSIVE: Bounds = Bounds {
+    restarts: 2,
+    has_unresponsive_daemon: true,
+    ..RESTARTS
+};
+
+/// Bounds with graceful shutdowns, also of several daemons at a time.
+const LEAVES: Bounds = Bounds {
+    restarts: 0,
+    leaves: 2,
+    has_unresponsive_daemon: true,
+    ..RESTARTS
+};
+
 /// Bounds with which other steps may occur before an agreed grant is made.
 const DELAYED_GRANTS: Bounds = Bounds {
     restarts: 1,
     has_delayed_grants: true,
+    ..RESTARTS
 };
 
 /// Deliberate faults in the protocol that the search must find.
@@ -73,21 +103,30 @@
     AgreementNotRecorded,
     /// A daemon makes grants before it has read the records.
     GrantsBeforeReading,
-    /// A daemon that is alone in its failure domain makes grants.
-    GrantsAlone,
     /// A daemon makes a grant although offline grants were disabled after the others
     /// agreed to it.
     GrantsAfterDisabling,
+    /// A grant counts the votes of daemons that may have forgotten a claim.
+    CountsForgetfulVotes,
+    /// A grant leaves no tokens for a failure domain without a vote.
+    IgnoresSilentDomains,
+    /// A daemon leaves without handing over the claim that it remembers.
+    LeavesWithClaim,
+    /// An agreement is valid although the daemons that knew of a claim have left.
+    IgnoresLeftDaemons,
 }
 
 /// State of one daemon.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 struct Daemon {
-    /// Number of restarts.
+    /// Number of restarts without a graceful shutdown.
     restarts: u8,
 
-    /// Tokens that the daemon has recorded in the store.
-    recorded: u64,
+    /// Number of graceful shutdowns.
+    leaves: u8,
+
+    /// Whether the daemon has left and not come back.
+    is_away: bool,
 
     /// Tokens that the daemon has granted itself and not recorded.
     unrecorded: u64,
@@ -114,6 +153,9 @@
 struct ModelState {
     daemons: [Daemon; DAEMONS],
 
+    /// Tokens recorded in the store by all daemons.
+    recorded: u64,
+
     /// Tokens that the daemons hold and turns may have used.
     held: u64,
 
@@ -125,27 +167,18 @@
 
     /// Whether the store responds to no daemon.
     is_store_down: bool,
+
+    /// Daemon that neither responds nor does anything.
+    unresponsive: Option<usize>,
 }
 
 impl ModelState {
     /// Returns the identifier of a daemon's current run.
     fn incarnation(&self, daemon: usize) -> Incarnation {
-        let restarts = self.daemons[daemon].restarts;
-        Incarnation::from(format!("{daemon}/{restarts}"))
-    }
-
-    /// Returns the tokens recorded by all daemons, added up by the real code.
-    fn total_allocated(&self) -> u64 {
-        let program = ProgramKey::from("p");
-        let mut allocations = Allocations::default();
-        for (index, daemon) in self.daemons.iter().enumerate() {
-            let id = AllocationId {
-                daemon: Incarnation::from(index.to_string()),
-                number: 1,
-            };
-            allocations.apply(&program, id, daemon.recorded, MonoMs(0));
-        }
-        allocations.total_allocated(&program)
+        let Daemon {
+            restarts, leaves, ..
+        } = self.daemons[daemon];
+        Incarnation::from(format!("{daemon}/{restarts}/{leaves}"))
     }
 
     /// Whether a daemon reaches the store.
@@ -153,9 +186,15 @@
         !self.is_store_down && (daemon == OUTSIDE || !self.is_partitioned)
     }
 
+    /// Whether a daemon runs and responds.
+    fn is_responsive(&self, daemon: usize) -> bool {
+        self.unresponsive != Some(daemon) && !self.daemons[daemon].is_away
+    }
+
     /// Whether one daemon reaches another.
     fn reaches(&self, from: usize, to: usize) -> bool {
-        from == to || !self.is_partitioned || (from != OUTSIDE && to != OUTSIDE)
+        let is_connected = !self.is_partitioned || (from != OUTSIDE && to != OUTSIDE);
+        from == to || (is_connected && self.is_responsive(to))
     }
 
     /// Allocates tokens in the store; the daemon reads all records up to its own.
@@ -165,11 +204,11 @@
             None if flaw == Flaw::NoAgreement => LIMIT_TOKENS,
             None => allocation::recorded_allocation_limit(LIMIT_TOKENS),
         };
-        if !self.reaches_store(daemon) || self.total_allocated() + STEP_TOKENS > limit {
+        if !self.reaches_store(daemon) || self.recorded + STEP_TOKENS > limit {
             return None;
         }
         let mut next = self.read(daemon)?;
-        next.daemons[daemon].recorded += STEP_TOKENS;
+        next.recorded += STEP_TOKENS;
         next.held += STEP_TOKENS;
         Some(next)
     }
@@ -191,19 +230,33 @@
     /// Asks all daemons to agree to make no more offline grants.
     fn agree(&self, daemon: usize, flaw: Flaw) -> Option<Self> {
         let is_recorded = self.grants_disabled || flaw == Flaw::AgreementNotRecorded;
-        let reaches_all = (0..DAEMONS).all(|d| self.reaches(daemon, d));
+        let listed: Vec<usize> = (0..DAEMONS).filter(|d| !self.daemons[*d].is_away).collect();
+        let reaches_all = listed.iter().all(|d| self.reaches(daemon, *d));
         if self.daemons[daemon].agreed_reserve.is_some() || !is_recorded || !reaches_all {
             return None;
         }
-        let live: Vec<Incarnation> = (0..DAEMONS).map(|d| self.incarnation(d)).collect();
+        let live: Vec<Incarnation> = listed.iter().map(|d| self.incarnation(*d)).collect();
         let was_restarted =
             |d: usize| self.daemons[d].restarts > 0 && flaw != Flaw::IgnoresRestarts;
-        let claimed = self.daemons.iter().filter_map(|d| d.claim.holder.clone());
+        let claimed = listed
+            .iter()
+            .filter_map(|d| self.daemons[*d].claim.holder.clone());
+        let is_forgetful_domain = |domain: &[usize]| {
+            let (here, left): (Vec<usize>, Vec<usize>) =
+                domain.iter().partition(|d| listed.contains(d));
+            let is_left_counted = !left.is_empty() && flaw != Flaw::IgnoresLeftDaemons;
+            (is_left_counted || !here.is_empty()) && here.into_iter().all(was_restarted)
+        };
         let agreement = GrantAgreement {
-            daemons: DAEMONS,
-            agreed: DAEMONS,
-            recently_started: (0..DAEMONS).filter(|d| was_restarted(*d)).count(),
-            has_recently_started_domain: was_restarted(OUTSIDE) || (0..OUTSIDE).all(was_restarted),
+            daemons: listed.len(),
+            agreed: listed.len(),
+            recently_started: listed.iter().filter(|d| was_restarted(**d)).count(),
+            recently_left: match flaw {
+                Flaw::IgnoresLeftDaemons => 0,
+                _ => DAEMONS - listed.len(),
+            },
+            has_recently_started_domain: is_forgetful_domain(&[OUTSIDE])
+                || is_forgetful_domain(&[0, 1]),
             unrecorded: self.daemons.iter().map(|d| d.unrecorded).sum(),
             ended: match flaw {
                 Flaw::NoReserveForEnded => BTreeSet::new(),
@@ -220,51 +273,69 @@
         Some(next)
     }
 
+    /// Whether a daemon's vote on a grant counts: it has forgotten no claim.
+    fn has_valid_vote(&self, daemon: usize, flaw: Flaw) -> bool {
+        self.daemons[daemon].restarts == 0 || flaw == Flaw::CountsForgetfulVotes
+    }
+
+    /// Counts the votes on a grant, to which the daemons in `accepted` agree.
+    fn tally(&self, daemon: usize, accepted: &[usize], flaw: Flaw) -> GrantTally {
+        let domain = |daemon: usize| match daemon {
+            OUTSIDE => "outside",
+            _ => "inside",
+        };
+        let ballot = |d: usize| Ballot {
+            domain: domain(d).to_owned(),
+            vote: match accepted.contains(&d) && self.has_valid_vote(d, flaw) {
+                true => Vote::Agrees,
+                false => Vote::Missing,
+            },
+        };
+        let ballots: Vec<Ballot> = (0..DAEMONS).map(ballot).collect();
+        let mut tally = GrantTally::count(&ballots, domain(daemon));
+        if flaw == Flaw::IgnoresSilentDomains {
+            tally.silent_domains = 0;
+        }
+        tally
+    }
+
     /// Asks the other daemons to agree to an offline grant.
     fn request_grant(&self, daemon: usize, flaw: Flaw) -> Option<Self> {
         if self.reaches_store(daemon) || self.daemons[daemon].may_grant {
             return None;
         }
-        let others: Vec<usize> = (0..DAEMONS)
-            .filter(|d| *d != daemon && self.reaches(daemon, *d))
-            .collect();
-        let is_same_domain = |d: &&usize| (**d == OUTSIDE) == (daemon == OUTSIDE);
         let own = self.incarnation(daemon);
         let mut next = self.clone();
-        let has_own_claim = next.daemons[daemon].claim.try_acquire(&own);
-        let accepted_by_peers: Vec<bool> = others
+        let asked: Vec<usize> = (0..DAEMONS).filter(|d| self.reaches(daemon, *d)).collect();
+        let accepted: Vec<usize> = asked
             .iter()
-            .map(|d| next.daemons[*d].claim.try_acquire(&own))
+            .copied()
+            .filter(|d| next.daemons[*d].claim.try_acquire(&own))
             .collect();
-        let asked_same_domain = usize::from(daemon != OUTSIDE);
         let is_denied = match flaw {
             Flaw::IgnoresAllClaims => false,
-            Flaw::IgnoresPeerClaims => !has_own_claim,
-            _ => !has_own_claim || accepted_by_peers.contains(&false),
+            Flaw::IgnoresPeerClaims => !accepted.contains(&daemon),
+            _ => accepted.len() < asked.len(),
         };
-        let previously_granted = match flaw {
-            Flaw::ForgetsRecordedGrants => self.daemons[daemon].unrecorded,
-            _ => self.daemons[daemon].granted,
+        let accepted = match flaw {
+            Flaw::IgnoresAllClaims | Flaw::IgnoresPeerClaims => asked,
+            _ => accepted,
         };
         let read_grants_disabled = self.daemons[daemon].read_grants_disabled;
         let conditions = GrantConditions {
-            asked: DAEMONS - 1,
-            agreed: others.len(),
-            asked_same_domain: asked_same_domain.max(usize::from(flaw == Flaw::GrantsAlone)),
-            agreed_same_domain: match flaw {
-                Flaw::GrantsAlone => asked_same_domain.max(1),
-                _ => others.iter().filter(is_same_domain).count(),
-            },
+            tally: self.tally(daemon, &accepted, flaw),
             is_denied,
             is_cut_off: self.is_partitioned,
             has_member_list: true,
             has_read_records: read_grants_disabled.is_some() || flaw == Flaw::GrantsBeforeReading,
             grants_disabled: read_grants_disabled.unwrap_or_default(),
-            total_granted: previously_granted + STEP_TOKENS,
         };
-        if !conditions.may_grant(LIMIT_TOKENS) {
-            return None;
-        }
+        let previously_granted = match flaw {
+            Flaw::ForgetsRecordedGrants => self.daemons[daemon].unrecorded,
+            _ => self.daemons[daemon].granted,
+        };
+        let max_grant = conditions.max_grant(LIMIT_TOKENS);
+        allocation::offline_grant_size(STEP_TOKENS, previously_granted, max_grant)?;
         next.daemons[daemon].may_grant = true;
         Some(next)
     }
@@ -294,9 +365,7 @@
             return None;
         }
         let mut next = self.clone();
-        let daemon = &mut next.daemons[daemon];
-        daemon.recorded += daemon.unrecorded;
-        daemon.unrecorded = 0;
+        next.recorded += mem::take(&mut next.daemons[daemon].unrecorded);
         Some(next)
     }
 
@@ -306,16 +375,73 @@
         let mut next = self.clone();
         next.daemons[daemon] = Daemon {
             restarts: self.daemons[daemon].restarts + 1,
-            recorded: self.daemons[daemon].recorded,
+            leaves: self.daemons[daemon].leaves,
             ..Daemon::default()
         };
         (restarts < bounds.restarts).then_some(next)
     }
 
+    /// Stops a daemon gracefully; it leaves if it reaches the store, to which it hands over
+    /// the claim that it remembers.
+    fn leave(&self, daemon: usize, flaw: Flaw, bounds: Bounds) -> Option<Self> {
+        let leaves: u8 = self.daemons.iter().map(|d| d.leaves).sum();
+        let stopped = &self.daemons[daemon];
+        if leaves >= bounds.leaves || !self.reaches_store(daemon) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.daemons[daemon] = Daemon {
+            restarts: stopped.restarts,
+            leaves: stopped.leaves + 1,
+            is_away: true,
+            claim: GrantClaim {
+                holder: match flaw {
+                    Flaw::LeavesWithClaim => None,
+                    _ => stopped.claim.holder.clone(),
+                },
+                grants_disabled: false,
+            },
+            ..Daemon::default()
+        };
+        Some(next)
+    }
+
+    /// Starts a daemon that has left.
+    fn come_back(&self, daemon: usize) -> Option<Self> {
+        if !self.daemons[daemon].is_away || !self.reaches_store(daemon) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.daemons[daemon].is_away = false;
+        Some(next)
+    }
+
+    /// Returns the states in which another daemon is unresponsive, or none.
+    fn unresponsive_changes(&self, bounds: Bounds) -> Vec<Self> {
+        if !bounds.has_unresponsive_daemon {
+            return Vec::new();
+        }
+        let candidates: Vec<Option<usize>> = match self.unresponsive {
+            Some(_) => vec![None],
+            None => (0..DAEMONS).map(Some).collect(),
+        };
+        let with = |unresponsive| Self {
+            unresponsive,
+            ..self.clone()
+        };
+        candidates.into_iter().map(with).collect()
+    }
+
     /// Returns all states that can follow.
     fn successors(&self, flaw: Flaw, bounds: Bounds) -> Vec<Self> {
         let mut next = Vec::new();
+        next.extend(self.unresponsive_changes(bounds));
         for daemon in 0..DAEMONS {
+            if !self.is_responsive(daemon) {
+                next.extend(self.come_back(daemon));
+                continue;
+            }
+            next.extend(self.leave(daemon, flaw, bounds));
             next.extend(self.allocate(daemon, flaw));
             next.extend(self.read(daemon));
             next.extend(self.disable_grants(daemon));
@@ -339,16 +465,37 @@
         next
     }
 
+    /// Returns a digest of the state, equal for equal states only.
+    fn digest(&self) -> [u64; 2] {
+        [0, 1].map(|seed| {
+            let mut hasher = DefaultHasher::new();
+            (seed, self).hash(&mut hasher);
+            hasher.finish()
+        })
+    }
+
     /// Whether the daemons hold more tokens than the limit.
     fn is_exceeded(&self) -> bool {
         self.held > LIMIT_TOKENS
     }
 }
 
-/// Returns a shortest sequence of states in which the limit is exceeded, if there is one.
-fn violation(flaw: Flaw, bounds: Bounds) -> Option<Vec<ModelState>> {
-    let successors = |w: &ModelState| w.successors(flaw, bounds);
-    bfs::bfs(&ModelState::default(), successors, ModelState::is_exceeded)
+/// Returns a state in which the limit is exceeded, reached in the fewest steps, if there
+/// is one. States that were seen before are recognised by a digest, to save memory.
+fn violation(flaw: Flaw, bounds: Bounds) -> Option<ModelState> {
+    let mut seen = HashSet::new();
+    let mut queue = VecDeque::from([ModelState::default()]);
+    while let Some(state) = queue.pop_front() {
+        if state.is_exceeded() {
+            return Some(state);
+        }
+        for next in state.successors(flaw, bounds) {
+            if seen.insert(next.digest()) {
+                queue.push_back(next);
+            }
+        }
+    }
+    None
 }
 
 #[test]
@@ -357,9 +504,27 @@
     assert_eq!(violation(Flaw::None, DELAYED_GRANTS), None);
 }
 
+#[test]
+fn budget_is_never_exceeded_with_an_unresponsive_daemon() {
+    assert_eq!(violation(Flaw::None, UNRESPONSIVE), None);
+}
+
+#[test]
+fn budget_is_never_exceeded_when_daemons_leave_and_come_back() {
+    assert_eq!(violation(Flaw::None, LEAVES), None);
+}
+
+/// Checks that the search finds each of the flaws within the bounds.
+fn assert_found(flaws: &[Flaw], bounds: Bounds) {
+    for flaw in flaws {
+        let found = violation(*flaw, bounds);
+        assert!(found.is_some(), "{flaw:?} was not found");
+    }
+}
+
 #[test]
 fn search_finds_every_flaw() {
-    for flaw in [
+    let flaws = [
         Flaw::NoAgreement,
         Flaw::ForgetsAgreement,
         Flaw::IgnoresAllClaims,
@@ -367,14 +532,18 @@
         Flaw::ForgetsRecordedGrants,
         Flaw::NoReserveForEnded,
         Flaw::IgnoresRestarts,
+    ];
+    assert_found(&flaws, RESTARTS);
+    assert_found(&[Flaw::GrantsAfterDisabling], DELAYED_GRANTS);
+    let flaws = [Flaw::CountsForgetfulVotes, Flaw::IgnoresSilentDomains];
+    assert_found(&flaws, UNRESPONSIVE);
+    let flaws = [
         Flaw::AgreementNotRecorded,
         Flaw::GrantsBeforeReading,
-        Flaw::GrantsAlone,
-    ] {
-        let found = violation(flaw, RESTARTS);
-        assert!(found.is_some(), "{flaw:?} was not found");
-    }
-    assert!(violation(Flaw::GrantsAfterDisabling, DELAYED_GRANTS).is_some());
+        Flaw::LeavesWithClaim,
+        Flaw::IgnoresLeftDaemons,
+    ];
+    assert_found(&flaws, LEAVES);
 }
 
 #[test]
