Keep a copy of each turn outside of its failure domain before its answer ends

Change: replicas suffice only if one lies in another failure domain; turns that have to be kept are refused at once while the domain is cut off, with a Retry-After and a closed connection, instead of waiting for their deadline.

--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -242,6 +242,7 @@
     /// Processes a request: runs it on an endpoint and forwards the response, retrying while
     /// that is safe.
     async fn process(&self, ex: &mut Exchange, caller: &mut Conn) -> Result<u16, Failure> {
+        self.refuse_if_cut_off(ex)?;
         self.admit_program(ex)?;
         self.load_history(ex).await?;
         self.reserve_tokens(ex).await?;
@@ -262,6 +263,16 @@
         }
     }
 
+    /// Refuses a turn that has to be kept while this failure domain is cut off: its answer
+    /// could not end before the cut does, and other failure domains can serve it.
+    fn refuse_if_cut_off(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
+        if !ex.should_store_turn() || !self.connectivity.is_cut_off() {
+            return Ok(());
+        }
+        log::info!(request = &*ex.id.0; "turn refused: this failure domain is cut off and cannot keep it");
+        Err(retry_later(ErrorReason::StoreUnreachable))
+    }
+
     /// Refuses a program that starts while the engines are overloaded.
     fn admit_program(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         let Some(program) = ex.info.program.as_ref().filter(|_| ex.route.has_turns()) else {
--- a/kingcupspan/src/gateway/turn_storage.rs
+++ b/kingcupspan/src/gateway/turn_storage.rs
@@ -1,9 +1,10 @@
 //! Stores a turn durably before its answer ends.
 //!
 //! The store normally accepts a turn within a few milliseconds. While the store
-//! does not respond, the turn is replicated to two peers so that the answer can end;
-//! it is written to the store as soon as the store accepts it. Without enough
-//! reachable peers the answer waits for the store.
+//! does not respond, the turn is replicated to two peers, one of them in another failure
+//! domain, so that the answer can end; it is written to the store as soon as the store
+//! accepts it. Without such peers the answer waits for the store: a turn that only this
+//! failure domain holds is lost to the other ones, and for good if the domain fails.
 
 use std::{sync::Arc, time::Duration};
 
@@ -49,7 +50,7 @@
     let mut replica_holders = Vec::new();
     while future::timeout(STORE_TIMEOUT, stored.recv()).await.is_err() {
         replicate(peers, id, &turn, &mut replica_holders).await;
-        if replica_holders.len() >= REPLICAS {
+        if is_durable(peers, &replica_holders) {
             log::info!(request = &*id.0; "store did not respond in time; turn replicated to peers until it is stored");
             task::spawn(release_replicas(
                 Arc::clone(peers),
@@ -78,6 +79,13 @@
     }
 }
 
+/// Whether the replica holders suffice for the answer to end.
+fn is_durable(peers: &Peers, replica_holders: &[Peer]) -> bool {
+    let is_elsewhere = |p: &Peer| p.domain != peers.local.domain;
+    replica_holders.len() >= REPLICAS
+        && (peers.domain_count() == 1 || replica_holders.iter().any(is_elsewhere))
+}
+
 /// Sends a turn to further peers until there are enough replica holders.
 async fn replicate(
     peers: &Arc<Peers>,
@@ -88,13 +96,16 @@
     let request = PeerRequest::Keep(id.clone(), turn.clone());
     let mut others = peers.others();
     others.retain(|p| replica_holders.iter().all(|h| h.vm != p.vm));
+    if replica_holders.len() >= REPLICAS {
+        others.retain(|p| p.domain != peers.local.domain);
+    }
     for group in others.chunks(REPLICAS) {
         let responses = peers.send_all(group.to_vec(), &request).await;
         let accepted = responses
             .into_iter()
             .filter(|(_, r)| matches!(r, Ok(PeerResponse::Kept)));
         replica_holders.extend(accepted.map(|(peer, _)| peer));
-        if replica_holders.len() >= REPLICAS {
+        if is_durable(peers, replica_holders) {
             return;
         }
     }
--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -1,11 +1,14 @@
 //! A store that is unavailable, does not respond or drops responses, and daemons that are
 //! cut off from it or from each other.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use kingcupspan_platform_standin::{
-    caller::Request, endpoint::EndpointBehavior, settings, store::StoreBehavior,
+    caller::{self, Request},
+    endpoint::EndpointBehavior,
+    settings,
+    store::StoreBehavior,
 };
 
 use crate::fleet::Fleet;
@@ -180,6 +183,56 @@
     );
 }
 
+/// Kills all daemons but those of the first failure domain, and makes the store unavailable.
+fn cut_off_first_domain(fleet: &mut Fleet) {
+    for daemon in [1, 2, 4, 5] {
+        fleet.daemons[daemon].kill();
+    }
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+}
+
+#[async_std::test]
+async fn turns_that_only_a_cut_off_domain_could_keep_are_refused() {
+    let mut fleet = Fleet::start("gateway-cut-turns", 7, 4_000).await;
+    cut_off_first_domain(&mut fleet);
+    task::sleep(Duration::from_millis(1_500)).await;
+    let turn = Request::turn("p", "t1", None, 3_000);
+    let response = fleet.send(0, &turn).await;
+    assert_eq!(
+        (response.status, response.closes_connection),
+        (503, true),
+        "{response:?}"
+    );
+    assert!(response.retry_after.is_some());
+    assert_eq!(fleet.engine.executed_requests(), []);
+}
+
+#[async_std::test]
+async fn answer_ends_only_when_another_domain_or_the_store_has_the_turn() {
+    let mut fleet = Fleet::start("gateway-cut-answer", 7, 8_000).await;
+    fleet.engine.set_behavior(EndpointBehavior::Stream {
+        events: 4,
+        pause: Duration::from_millis(400),
+    });
+    let addr = fleet.caller_addr(0);
+    let turn = Request::turn("p", "t1", None, 3_000);
+    let answer = task::spawn(async move { (caller::send(addr, &turn).await, Instant::now()) });
+    task::sleep(Duration::from_millis(400)).await;
+    cut_off_first_domain(&mut fleet);
+    task::sleep(Duration::from_millis(3_000)).await;
+    let store_returned_at = Instant::now();
+    fleet.store.set_behavior(StoreBehavior::Available);
+    let (response, ended_at) = answer.await;
+    assert!(
+        response.is_complete && response.status == 200,
+        "{response:?}"
+    );
+    assert!(
+        ended_at > store_returned_at,
+        "the answer ended during the cut"
+    );
+}
+
 #[async_std::test]
 async fn cut_off_daemon_closes_connections_and_is_not_ready() {
     let mut fleet = Fleet::start("gateway-cut", 2, 1_000).await;
