Turns do not wait for a slow store; no vote is forgotten during a hand-over

Turns appended and read their allocations in calls of 240 ms and more, queued by partition; offline grants were denied since a single peer that had not counted an outage was a veto. Ruled out: counting a slow store as an outage for all calls (turns would wait in memory, and be lost with all daemons, though the store would take them). Change: a call of 150 ms or more marks the store as slow until a faster one. A slow store is not asked for tokens if a majority votes for an offline grant; previous turns are asked from peers first. A daemon that reaches the store lacks a vote and is no veto any more (the model never had the veto). Found on reading the change: a daemon that has handed its claims over agrees to no more grants (a claim agreed to afterwards was forgotten), and a VM of the system's first start is never taken for a new one (after a kill within the retention the domain's vote would have done without it). Tests: turns_do_not_wait_for_a_slow_store; votes.rs.

--- a/kingcupspan/src/gateway/history_lookup.rs
+++ b/kingcupspan/src/gateway/history_lookup.rs
@@ -53,18 +53,14 @@
     last: &RequestId,
     retention: Duration,
 ) -> Result<Vec<Arc<Turn>>, HistoryError> {
+    if partitions.is_store_slow() {
+        load_from_peers(partitions, peers, last).await;
+    }
     let from_store = load_from_store(partitions, last).await;
     if from_store.is_ok() {
         return from_store;
     }
-    let mut all_responded = true;
-    let mut requested = Vec::new();
-    while let Err(missing) = partitions.chain(last)
-        && missing != requested
-    {
-        all_responded = fetch_from_peers(partitions, peers, &missing).await;
-        requested = missing;
-    }
+    let all_responded = load_from_peers(partitions, peers, last).await;
     let found = partitions.chain(last).or(from_store);
     match found {
         Err(HistoryError::Unknown(id))
@@ -76,6 +72,24 @@
     }
 }
 
+/// Loads the turns that are missing from the chain that ends with `last` from the memory
+/// of peers; returns whether all peers responded.
+async fn load_from_peers(
+    partitions: &Arc<Partitions>,
+    peers: &Arc<Peers>,
+    last: &RequestId,
+) -> bool {
+    let mut all_responded = true;
+    let mut requested = Vec::new();
+    while let Err(missing) = partitions.chain(last)
+        && missing != requested
+    {
+        all_responded = fetch_from_peers(partitions, peers, &missing).await;
+        requested = missing;
+    }
+    all_responded
+}
+
 /// Fetches turns from the memory of peers, which may hold replicas that the store
 /// lacks; returns whether all peers responded.
 async fn fetch_from_peers(
--- a/kingcupspan/src/gateway/ledger/grants.rs
+++ b/kingcupspan/src/gateway/ledger/grants.rs
@@ -3,7 +3,10 @@
 //! Only the daemon that has the claim on a program may make offline grants for it; its
 //! peers remember the claim.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Instant,
+};
 
 use async_std::task;
 use kingcupspan_core::gateway::{
@@ -207,8 +210,12 @@
     /// Hands the claims that this daemon remembers, which may be unknown to all other
     /// daemons, to the next daemon of this VM through the store.
     pub async fn hand_over_claims(&self) -> Result<(), StoreFailure> {
-        let claims = self.claims().held();
-        self.partitions.store_claims(claims).await
+        let held = {
+            let claims = self.claims();
+            self.has_handed_over.store(true, Ordering::Relaxed);
+            claims.held()
+        };
+        self.partitions.store_claims(held).await
     }
 
     /// Claims on programs, including those that the last daemon of this VM handed over.
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -9,7 +9,10 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -107,6 +110,10 @@
     last_allocation_number: Mutex<u64>,
     accounts: Mutex<HashMap<ProgramKey, Arc<Account>>>,
     claims: Mutex<GrantClaims>,
+
+    /// Whether the claims were handed over, so that this daemon must agree to no more grants.
+    has_handed_over: AtomicBool,
+
     grants: Mutex<HashMap<ProgramKey, OfflineGrants>>,
 }
 
@@ -161,6 +168,7 @@
             last_allocation_number: Mutex::default(),
             accounts: Mutex::default(),
             claims: Mutex::default(),
+            has_handed_over: AtomicBool::default(),
             grants: Mutex::default(),
         }
     }
@@ -270,6 +278,12 @@
             return self.gather_from_peers(account, request, missing).await;
         }
         let limit = allocation::limit(request.budget, request.max_tokens);
+        if self.partitions.is_store_slow() {
+            let obtained = self.obtain_without_store(account, request, missing, StoreFailure::Slow);
+            if obtained.await.is_ok() {
+                return Ok(());
+            }
+        }
         let tokens = allocation::allocation_size(missing, request.max_tokens, total, limit);
         match self.allocate(account, request, tokens).await {
             Ok(()) => Ok(()),
@@ -468,10 +482,7 @@
                 claim.grants_disabled = true;
                 false
             }
-            // Claims that were handed over to this daemon are known once the records are read.
-            Purpose::Grant => {
-                !self.partitions.has_read_allocations(program) || !claim.try_acquire(&sender)
-            }
+            Purpose::Grant => !self.knows_all_claims(program) || !claim.try_acquire(&sender),
             Purpose::Share => false,
         };
         let is_own = |daemon: &Incarnation| *daemon == self.peers.local.incarnation;
@@ -486,10 +497,17 @@
             unrecorded_grants: grants.unrecorded,
             claim,
             denies_grant,
-            reaches_store: self.partitions.store_unreachable_for().is_none(),
+            reaches_store: self.partitions.is_store_responsive(),
         }
     }
 
+    /// Whether claims that this daemon agrees to are remembered, and those are known that
+    /// the last daemon of the VM handed over. To be called with the claims locked.
+    fn knows_all_claims(&self, program: &ProgramKey) -> bool {
+        self.partitions.has_read_allocations(program)
+            && !self.has_handed_over.load(Ordering::Relaxed)
+    }
+
     /// Creates an id for a new allocation of this daemon.
     fn next_allocation_id(&self) -> AllocationId {
         let mut number = self.last_allocation_number.lock();
--- a/kingcupspan/src/gateway/ledger/peer_poll.rs
+++ b/kingcupspan/src/gateway/ledger/peer_poll.rs
@@ -29,7 +29,7 @@
     /// Claims on the program that the daemons reported.
     pub(super) claims: Vec<ClaimReport>,
 
-    /// Whether a daemon rejects an offline grant, or reaches the store.
+    /// Whether a daemon rejects an offline grant.
     pub(super) is_denied: bool,
 
     /// Sum of the daemons' local quotas after they handed over tokens; `allocated` is
@@ -54,7 +54,7 @@
             unrecorded_grants,
             claim,
             denies_grant,
-            reaches_store,
+            ..
         }) = response
         else {
             return;
@@ -63,7 +63,7 @@
         self.received += tokens;
         self.unrecorded_grants += unrecorded_grants;
         self.claims.extend(claim);
-        self.is_denied |= denies_grant || reaches_store;
+        self.is_denied |= denies_grant;
         self.quota.used += remaining_quota.used;
         self.quota.reserved += remaining_quota.reserved;
     }
--- a/kingcupspan/src/gateway/membership.rs
+++ b/kingcupspan/src/gateway/membership.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
+use kingcupspan_core::id::WallMs;
 use kingcupspan_platform::store::{self, Partition, Record};
 use rmp_serde::decode;
 use serde::Serialize;
@@ -101,10 +102,14 @@
     /// Record of the entry of this daemon's VM.
     fn vm_record(&self, shutdown: Option<GracefulShutdown>) -> Record {
         let local = &self.peers.local;
+        let joined = match local.has_complete_state {
+            true => WallMs(0),
+            false => local.started,
+        };
         let known = self.peers.local_vm();
         let entry = VmEntry {
             domain: local.domain.clone(),
-            first_started: known.map_or(local.started, |v| v.first_started),
+            joined: known.map_or(joined, |v| v.joined),
             shutdown,
         };
         Record {
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -214,6 +214,16 @@
         self.store.unreachable_for()
     }
 
+    /// Whether the store responds, but so slowly that requests should not wait for it.
+    pub fn is_store_slow(&self) -> bool {
+        self.store.is_slow()
+    }
+
+    /// Whether the store has responded to this daemon lately, without delay.
+    pub fn is_store_responsive(&self) -> bool {
+        self.store.is_responsive()
+    }
+
     /// Holds a turn in memory without writing it to the store.
     pub fn cache_turn(&self, id: RequestId, turn: Arc<Turn>) {
         self.turns.lock().insert(id, turn);
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -90,8 +90,9 @@
     /// Failure domain of the VM.
     pub domain: String,
 
-    /// Time at which the first daemon of the VM was started.
-    pub first_started: WallMs,
+    /// Time at which the first daemon of the VM was started; 0 if that was together with
+    /// the whole system.
+    pub joined: WallMs,
 
     /// Graceful shutdown of the VM's daemon; `None` once the VM has started another one.
     pub shutdown: Option<GracefulShutdown>,
@@ -503,8 +504,8 @@
             return Vote::Agrees;
         }
         let vms = self.vms.read();
-        let first_started = vms.get(&peer.vm).map(|v| v.first_started);
-        match first_started.is_some_and(|at| is_recent(at, now, span)) {
+        let joined = vms.get(&peer.vm).map(|v| v.joined);
+        match joined.is_some_and(|at| is_recent(at, now, span)) {
             true => Vote::New,
             false => Vote::Missing,
         }
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -30,6 +30,13 @@
 /// partition.
 const RESPONSE_VALID_FOR: Duration = Duration::from_millis(100);
 
+/// Response time from which on the store counts as slow; it normally responds within a
+/// few milliseconds, and a turn waits for several calls one after another.
+const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(150);
+
+/// Time for which the pace of a response tells how the store responds now.
+const PACE_VALID_FOR: Duration = Duration::from_millis(1_000);
+
 /// Pause between direct calls that probe whether the store responds again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -54,6 +61,10 @@
     #[error("store is unreachable")]
     Unreachable,
 
+    /// No call was made because the store responds too slowly.
+    #[error("store is slow")]
+    Slow,
+
     /// The response cannot be decoded.
     #[error(transparent)]
     Malformed(#[from] StoreError),
@@ -89,6 +100,17 @@
     peers: Arc<Peers>,
     outage: Mutex<Option<Outage>>,
     last_response: Mutex<Option<Instant>>,
+
+    /// Time of the last response to a call that does not wait for records, and whether it
+    /// took [`SLOW_RESPONSE_TIME`].
+    last_pace: Mutex<Option<(Instant, Pace)>>,
+}
+
+/// How fast the store responded to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pace {
+    Fast,
+    Slow,
 }
 
 /// Period in which the store does not respond to this daemon.
@@ -107,6 +129,9 @@
 
     body: Option<Vec<u8>>,
     timeout: Duration,
+
+    /// Whether the store may wait for new records before it responds.
+    waits_for_records: bool,
 }
 
 impl Store {
@@ -118,6 +143,7 @@
             peers,
             outage: Mutex::default(),
             last_response: Mutex::default(),
+            last_pace: Mutex::default(),
         }
     }
 
@@ -132,6 +158,7 @@
             proxy_path: None,
             body: Some(store::encode_records(records)),
             timeout: CALL_TIMEOUT,
+            waits_for_records: false,
         };
         Ok(store::decode_append_response(&self.call(call).await?)?)
     }
@@ -148,6 +175,7 @@
             proxy_path: Some(partition.read_path(offset, 0)),
             body: None,
             timeout: CALL_TIMEOUT + wait,
+            waits_for_records: !wait.is_zero(),
         };
         let batch = match self.call(call).await {
             Ok(body) => store::decode_batch(&body)?,
@@ -172,6 +200,7 @@
                 proxy_path: None,
                 body: None,
                 timeout: CALL_TIMEOUT,
+                waits_for_records: false,
             };
             let body = match self.call(call).await {
                 Err(StoreFailure::Refused(404)) => return Ok(newest),
@@ -244,6 +273,7 @@
             proxy_path: None,
             body,
             timeout: PROXY_CALL_TIMEOUT,
+            waits_for_records: false,
         };
         match self.call_direct(&call).await {
             Ok(body) => Some((200, body)),
@@ -284,6 +314,9 @@
         };
         let started = Instant::now();
         let result = self.exchange(out.timeouts(timeouts)).await;
+        if !call.waits_for_records {
+            self.record_pace(started.elapsed(), result.is_ok());
+        }
         match result.as_ref().err().filter(|e| e.is_outage()) {
             None => self.record_response(),
             Some(e) if self.has_responded_since(started) => {
@@ -309,6 +342,33 @@
         last_response.is_some_and(|at| at + RESPONSE_VALID_FOR > started)
     }
 
+    /// Records how long a call took, which tells nothing if it failed at once.
+    fn record_pace(&self, elapsed: Duration, is_ok: bool) {
+        let pace = match (elapsed < SLOW_RESPONSE_TIME, is_ok) {
+            (true, true) => Pace::Fast,
+            (true, false) => return,
+            (false, _) => Pace::Slow,
+        };
+        *self.last_pace.lock() = Some((Instant::now(), pace));
+    }
+
+    /// Pace of the last response, if it still tells how the store responds.
+    fn current_pace(&self) -> Option<Pace> {
+        let last_pace = *self.last_pace.lock();
+        let (_, pace) = last_pace.filter(|(at, _)| at.elapsed() < PACE_VALID_FOR)?;
+        Some(pace)
+    }
+
+    /// Whether the store responds, but so slowly that requests should not wait for it.
+    pub fn is_slow(&self) -> bool {
+        self.current_pace() == Some(Pace::Slow)
+    }
+
+    /// Whether the store has responded to this daemon lately, without delay.
+    pub fn is_responsive(&self) -> bool {
+        self.unreachable_for().is_none() && self.current_pace() == Some(Pace::Fast)
+    }
+
     /// Records a response, which ends an outage.
     fn record_response(&self) {
         *self.last_response.lock() = Some(Instant::now());
@@ -344,7 +404,7 @@
         match self {
             Self::Refused(status) => matches!(status, 429 | 503),
             Self::NoResponse(_) | Self::Unreachable => true,
-            Self::Malformed(_) => false,
+            Self::Slow | Self::Malformed(_) => false,
         }
     }
 }
--- a/kingcupspan/tests/failures_kill.rs
+++ b/kingcupspan/tests/failures_kill.rs
@@ -196,7 +196,8 @@
         for n in 0..12 {
             let caller = caller.clone();
             running.push(task::spawn(async move {
-                let mut program = caller.open("tests", None, None).await.unwrap();
+                let opened = caller.open("tests", None, None).await;
+                let mut program = opened.map_err(|e| format!("program {n}: open: {e:?}"))?;
                 for turn in 0..25 {
                     let text = format!("program {n} turn {turn}");
                     let chat = requests::chat(&text);
@@ -206,11 +207,12 @@
                         match caller.chat(&mut program, &chat).await {
                             Ok(_) => break,
                             Err(f) if f.kind().is_none() && f.ran() == Ran::No => {}
-                            Err(f) => panic!("program {n} turn {turn}: {f}"),
+                            Err(f) => return Err(format!("program {n} turn {turn}: {f}")),
                         }
                     }
                     task::sleep(Duration::from_millis(100)).await;
                 }
+                Ok(())
             }));
         }
         for n in 0..2 {
@@ -219,8 +221,10 @@
             let code = fleet.daemons[n].process.wait_for_exit().await;
             assert_eq!(code, Some(0), "daemon {n} shuts down in time");
         }
+        let mut failed: Vec<String> = Vec::new();
         for program in running {
-            program.await;
+            failed.extend(program.await.err());
         }
+        assert_eq!(failed, Vec::<String>::new());
     });
 }
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod outages;
 mod requests;
+mod votes;
 
 use std::fmt::Write;
 
--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -112,6 +112,30 @@
     assert!(response.retry_after.is_some());
 }
 
+#[async_std::test]
+async fn turns_do_not_wait_for_a_slow_store() {
+    let fleet = Fleet::start("gateway-slow", 3, 4_000).await;
+    let before = fleet.send(0, &Request::turn("p", "t1", None, 3_000)).await;
+    assert_eq!(before.status, 200);
+    fleet.store.set_behavior(StoreBehavior::Slow);
+    // Each daemon reads the list of endpoints within this time and notices.
+    task::sleep(Duration::from_millis(1_500)).await;
+    let started_at = Instant::now();
+    for (daemon, id, previous) in [(1, "t2", "t1"), (2, "t3", "t2"), (0, "t4", "t3")] {
+        let turn = Request::turn("p", id, Some(previous), 3_000);
+        let response = fleet.send(daemon, &turn).await;
+        assert_eq!(response.status, 200, "turn {id}: {response:?}");
+    }
+    let new_program = fleet.send(1, &Request::turn("n", "n1", None, 3_000)).await;
+    assert_eq!(new_program.status, 200, "{new_program:?}");
+    // One call to the store takes 400 ms, and a turn waited for three at least.
+    let elapsed = started_at.elapsed();
+    assert!(
+        elapsed < Duration::from_millis(2_000),
+        "four turns took {elapsed:?}"
+    );
+}
+
 #[async_std::test]
 async fn missing_turn_is_reported_as_unknown_unless_a_replica_may_be_lost() {
     let mut fleet = Fleet::start("gateway-unknown", 1, 2_000).await;
--- a/kingcupspan_core/src/gateway/grant.rs
+++ b/kingcupspan_core/src/gateway/grant.rs
@@ -110,7 +110,8 @@
     /// The daemon responded, knows no claim of another daemon and has forgotten none.
     Agrees,
 
-    /// The daemon did not respond, does not agree or may have forgotten a claim.
+    /// The daemon did not respond, reaches the store, does not agree or may have forgotten
+    /// a claim.
     Missing,
 
     /// The daemon's VM is new, so that no earlier vote can have counted on it.
@@ -194,7 +195,7 @@
     /// Votes of all daemons, including this one.
     pub tally: GrantTally,
 
-    /// Whether another daemon has claimed the program or reaches the store.
+    /// Whether another daemon has claimed the program.
     pub is_denied: bool,
 
     /// Whether this daemon's failure domain is cut off from all others.
