--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -136,6 +136,21 @@
     );
 }
 
+#[async_std::test]
+async fn queue_in_one_partition_is_no_slow_store() {
+    let fleet = Fleet::start("gateway-busy-partition", 2, 4_000).await;
+    // Appends take 150 ms, as in a partition with a queue; reads are as fast as ever.
+    fleet.store.set_behavior(StoreBehavior::SlowAppends);
+    for round in 0..4 {
+        let program = format!("p{round}");
+        let turn = Request::turn(&program, &format!("t{round}"), None, 9_000);
+        let response = fleet.send(0, &turn).await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    let polls = fleet.peer_request_count(1, "release").await;
+    assert_eq!(polls, 0, "daemons were asked for votes on offline grants");
+}
+
 #[async_std::test]
 async fn missing_turn_is_reported_as_unknown_unless_a_replica_may_be_lost() {
     let mut fleet = Fleet::start("gateway-unknown", 1, 2_000).await;
