--- a/review/common/kit.rs
+++ b/review/common/kit.rs
@@ -8,6 +8,7 @@
     env, fs,
     io::{self, BufRead, BufReader, Read, Write},
     net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{self, Child, Command, Stdio},
     sync::{
@@ -43,12 +44,17 @@
 /// Interval at which a runner writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 const SIGSTOP: i32 = 19;
 const SIGCONT: i32 = 18;
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
 /// Process ids of the gateways that are running, to end them whatever happens.
@@ -58,7 +64,7 @@
 pub fn finish(code: i32) -> ! {
     let running = RUNNING.lock().map(|r| r.clone()).unwrap_or_default();
     for pid in running {
-        unsafe { kill(pid as i32, 9) };
+        unsafe { kill(pid as i32, SIGKILL) };
     }
     process::exit(code)
 }
@@ -134,6 +140,7 @@
     /// Ends the case as one that could not run.
     pub fn cannot_run(&self, why: &str) -> ! {
         self.note(&format!("NOT RUN: {why}"));
+        let _ = fs::remove_dir_all(&self.folder);
         eprintln!("could not run: {why}");
         finish(NOT_RUN)
     }
@@ -698,7 +705,8 @@
             .join(format!("{}-{}.log", self.name, self.starts));
         let log = fs::File::create(log).expect("a log can be written");
         let keep = |name: &str| env::var(name).map(|value| (name.to_owned(), value)).ok();
-        let child = Command::new(case.root.join("target/release/kingcupspan"))
+        let mut command = Command::new(case.root.join("target/release/kingcupspan"));
+        command
             .arg("gateway")
             .current_dir(&case.root)
             .env_clear()
@@ -706,9 +714,15 @@
             .env("KINGCUPSPAN_BOOT", path)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log can be shared"))
-            .stderr(log)
-            .spawn()
-            .expect("the gateway can be started");
+            .stderr(log);
+        // No gateway outlives the case, even if the case itself is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the gateway can be started");
         RUNNING.lock().unwrap().push(child.id());
         case.note(&format!("{} started, start {}", self.name, self.starts + 1));
         self.child = Some(child);
