Store turns of any size: fragments, and appends within the store's limits

Cause: a turn was one record and a batch one call, whatever their size; the store refuses records over record_bytes (262,144) and calls over call_bytes for ever. The turn stayed in the memory of three daemons, and other turns of its partition waited behind it. Ruled out: refusing large turns (max_body_bytes is 4 MiB); records of fragments behind a head record that names them (a page of newest records is in the order of keys, so the head may come first). Change: turns that exceed a record are stored in fragments that are joined in any order; appends of turns and of budget records are split by call_bytes; peers take requests of 16 MiB, 1 MiB before, which refused replicas of large turns and calls made for a peer. The formats of records live in stored_record.rs. Test: turns_of_any_size_are_kept_while_all_daemons_restart (1,000, 300,000 and 3,500,000 bytes) failed before and passes now; fragments_are_joined_in_any_order, appends_take_as_many_records_as_a_call_may_hold.

--- a/kingcupspan/src/gateway/group_commit.rs
+++ b/kingcupspan/src/gateway/group_commit.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use async_std::task;
-use kingcupspan_platform::store::{Partition, Record};
+use kingcupspan_platform::store::{self, Partition, Record};
 use parking_lot::Mutex;
 
 use crate::gateway::{
@@ -29,6 +29,9 @@
     store: Arc<Store>,
     topics: Arc<[String]>,
 
+    /// Maximum size of the records in one call, in bytes.
+    call_bytes: usize,
+
     /// Queued records by partition; a task appends the records of each partition that
     /// has an entry.
     queues: Mutex<HashMap<PartitionId, Vec<PendingRecord>>>,
@@ -36,10 +39,11 @@
 
 impl GroupCommit {
     /// Creates empty queues; partition ids refer to `topics` by index.
-    pub fn new(store: Arc<Store>, topics: Arc<[String]>) -> Self {
+    pub fn new(store: Arc<Store>, topics: Arc<[String]>, call_bytes: usize) -> Self {
         Self {
             store,
             topics,
+            call_bytes,
             queues: Mutex::default(),
         }
     }
@@ -93,7 +97,8 @@
             queues.remove(&id);
             return None;
         }
-        let len = queue.len().min(BATCH_MAX);
+        let queued = queue.iter().take(BATCH_MAX).map(|p| &p.record);
+        let len = store::records_per_call(queued, self.call_bytes);
         Some(queue.drain(..len).collect())
     }
 }
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -24,5 +24,6 @@
 pub mod serve;
 pub mod shutdown;
 pub mod store;
+pub mod stored_record;
 pub mod turn_storage;
 pub mod upstream;
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -22,14 +22,17 @@
         allocation::{AllocationId, Allocations},
         call::{ProgramKey, RequestId},
         expiry::TurnExpiry,
+        fragment::{Assembler, Fragment},
         grant::Incarnation,
         history::{Turn, TurnCache},
     },
     id::WallMs,
 };
-use kingcupspan_platform::store::{self, AppendResponse, Partition, Record};
+use kingcupspan_platform::{
+    settings::StoreSettings,
+    store::{self, AppendResponse, Partition, Record, StoreLimits},
+};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::Clock,
@@ -37,6 +40,7 @@
         group_commit::GroupCommit,
         partition_cursor::PartitionCursor,
         store::{Store, StoreFailure},
+        stored_record::{self, StoredRecord},
     },
 };
 
@@ -56,25 +60,6 @@
 /// Pause after a failed read of the allocations.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Content of a record in the store.
-#[derive(Debug, Serialize, Deserialize)]
-enum StoredRecord {
-    /// A turn with a complete answer, and the time at which it was stored.
-    Turn(RequestId, Turn, WallMs),
-
-    /// Number of tokens of a program's budget that a daemon allocated to itself.
-    #[serde(rename = "Taking")]
-    Allocation(ProgramKey, AllocationId, u64),
-
-    /// Offline grants are disabled for the program.
-    #[serde(rename = "Closed")]
-    GrantsDisabled(ProgramKey),
-
-    /// A claim on the program, with its holder, that the last daemon of the named VM
-    /// remembered.
-    Claim(ProgramKey, Incarnation, String),
-}
-
 /// Identifies a partition of the gateway's own topics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PartitionId {
@@ -99,6 +84,7 @@
     topics: Arc<[String]>,
     group_commit: Arc<GroupCommit>,
     partitions_per_topic: u32,
+    limits: StoreLimits,
     cursors: Mutex<HashMap<PartitionId, SharedCursor>>,
 
     /// Partitions that were read completely at least once since the process started.
@@ -106,6 +92,10 @@
 
     expiry: Mutex<HashMap<PartitionId, TurnExpiry>>,
     turns: Mutex<TurnCache>,
+
+    /// Fragments of turns of which others have not been read yet.
+    fragments: Mutex<Assembler>,
+
     allocations: Mutex<Allocations>,
 
     /// Claims that the last daemon of this VM handed over and that were not taken yet.
@@ -119,7 +109,7 @@
     /// Creates an empty state; up to `cache_bytes` of turns are held in memory.
     pub fn new(
         store: Arc<Store>,
-        partitions_per_topic: u32,
+        settings: &StoreSettings,
         cache_bytes: usize,
         vm: String,
         clock: Clock,
@@ -131,14 +121,20 @@
         Self {
             clock,
             vm,
-            group_commit: Arc::new(GroupCommit::new(Arc::clone(&store), Arc::clone(&topics))),
+            group_commit: Arc::new(GroupCommit::new(
+                Arc::clone(&store),
+                Arc::clone(&topics),
+                settings.limits.call_bytes,
+            )),
             store,
             topics,
-            partitions_per_topic,
+            partitions_per_topic: settings.partitions,
+            limits: settings.limits,
             cursors: Mutex::default(),
             read_partitions: Mutex::default(),
             expiry: Mutex::default(),
             turns: Mutex::new(TurnCache::new(cache_bytes)),
+            fragments: Mutex::default(),
             allocations: Mutex::default(),
             inherited_claims: Mutex::default(),
             claim_records: Mutex::default(),
@@ -198,9 +194,12 @@
         self.allocations.lock().grants_disabled(program)
     }
 
-    /// Removes programs from memory for which no record was read within `span`.
+    /// Removes programs and incomplete turns from memory for which no record was read within
+    /// `span`.
     pub fn expire(&self, span: Duration) {
-        self.allocations.lock().expire(self.clock.before(span));
+        let before = self.clock.before(span);
+        self.allocations.lock().expire(before);
+        self.fragments.lock().expire(before);
     }
 
     /// Number of tokens of a program that each daemon has allocated, according to the
@@ -250,36 +249,48 @@
     ) -> Result<(), StoreFailure> {
         let expired = self.keys_to_delete(id).await;
         let now = self.clock.wall();
-        let record = |(id, turn): &(RequestId, Arc<Turn>)| Record {
-            key: turn_key(id),
-            value: Some(encode(&StoredRecord::Turn(
-                id.clone(),
-                (**turn).clone(),
-                now,
-            ))),
-        };
-        let mut records: Vec<Record> = turns.iter().map(record).collect();
-        records.extend(expired.iter().map(|key| Record {
+        let mut records = Vec::new();
+        for (turn_id, turn) in turns {
+            let of_turn = stored_record::turn_records(turn_id, turn, now, self.limits.record_bytes);
+            for record in &of_turn {
+                self.track_expiry(id, &record.key, turn.retention, now);
+            }
+            records.extend(of_turn);
+        }
+        let deletion = |key: &String| Record {
             key: key.clone(),
             value: None,
-        }));
-        let appended = self.append(id, &records).await?;
-        self.skip_own_records(id, appended, records.len() as u64);
-        for (record, (_, turn)) in records.iter().zip(turns) {
-            self.track_expiry(id, &record.key, turn, now);
-        }
+        };
+        records.extend(expired.iter().map(deletion));
+        self.append_in_calls(id, &records).await?;
         let mut expiry = self.expiry.lock();
         let expiry = expiry.entry(id).or_default();
         expired.iter().for_each(|key| expiry.remove(key));
         Ok(())
     }
 
+    /// Appends records of one partition in as many calls as their size needs.
+    async fn append_in_calls(
+        &self,
+        id: PartitionId,
+        mut records: &[Record],
+    ) -> Result<(), StoreFailure> {
+        while !records.is_empty() {
+            let len = store::records_per_call(records, self.limits.call_bytes);
+            let (of_call, remaining) = records.split_at(len);
+            let appended = self.store.append(self.store_partition(id), of_call).await?;
+            self.skip_own_records(id, appended, of_call.len() as u64);
+            records = remaining;
+        }
+        Ok(())
+    }
+
     /// Records when a stored turn expires.
-    fn track_expiry(&self, id: PartitionId, key: &str, turn: &Turn, written: WallMs) {
+    fn track_expiry(&self, id: PartitionId, key: &str, retention: Duration, written: WallMs) {
         let now = (self.clock.mono(), self.clock.wall());
         let mut expiry = self.expiry.lock();
         let expiry = expiry.entry(id).or_default();
-        expiry.record(key, turn.retention, written, now);
+        expiry.record(key, retention, written, now);
     }
 
     /// Ancestors of a turn that would expire too early for it and must be stored again.
@@ -288,7 +299,8 @@
         let expiry = self.expiry.lock();
         let needs_renewal = |id: &&RequestId| {
             let expiry = expiry.get(&self.partition_of_turn(id));
-            expiry.is_some_and(|e| e.needs_renewal(&turn_key(id), turn.retention, now))
+            expiry
+                .is_some_and(|e| e.needs_renewal(&stored_record::turn_key(id), turn.retention, now))
         };
         let renewals: Vec<&RequestId> = turn.ancestors.iter().filter(needs_renewal).collect();
         let turns = self.turns.lock();
@@ -321,7 +333,7 @@
         id: &AllocationId,
         tokens: u64,
     ) -> Result<(), StoreFailure> {
-        let (record, allocation) = allocation_record(program.clone(), id.clone(), tokens);
+        let (record, allocation) = stored_record::allocation(program.clone(), id.clone(), tokens);
         self.append_and_read(program, record, allocation).await
     }
 
@@ -332,7 +344,7 @@
     ) -> Result<(), StoreFailure> {
         let record = |(program, id, tokens): (ProgramKey, AllocationId, u64)| {
             let partition = self.partition_of_program(&program);
-            (partition, allocation_record(program, id, tokens).0)
+            (partition, stored_record::allocation(program, id, tokens).0)
         };
         self.append_all(allocations.into_iter().map(record)).await
     }
@@ -344,15 +356,7 @@
     ) -> Result<(), StoreFailure> {
         let record = |(program, holder): (ProgramKey, Incarnation)| {
             let partition = self.partition_of_program(&program);
-            let record = Record {
-                key: key(&format!("claim/{}/{program}", self.vm)),
-                value: Some(encode(&StoredRecord::Claim(
-                    program,
-                    holder,
-                    self.vm.clone(),
-                ))),
-            };
-            (partition, record)
+            (partition, stored_record::claim(program, holder, &self.vm))
         };
         self.append_all(claims.into_iter().map(record)).await
     }
@@ -393,11 +397,7 @@
 
     /// Records that offline grants are disabled for a program.
     pub async fn disable_offline_grants(&self, program: &ProgramKey) -> Result<(), StoreFailure> {
-        let disabled = StoredRecord::GrantsDisabled(program.clone());
-        let record = Record {
-            key: key(&format!("closed/{program}")),
-            value: Some(encode(&disabled)),
-        };
+        let (record, disabled) = stored_record::grants_disabled(program.clone());
         self.append_and_read(program, record, disabled).await
     }
 
@@ -414,15 +414,6 @@
         self.read_up_to(id, offset).await
     }
 
-    /// Appends records to a partition.
-    async fn append(
-        &self,
-        id: PartitionId,
-        records: &[Record],
-    ) -> Result<AppendResponse, StoreFailure> {
-        self.store.append(self.store_partition(id), records).await
-    }
-
     /// Moves the cursor past records of this daemon if no other records precede them.
     fn skip_own_records(&self, id: PartitionId, appended: AppendResponse, records: u64) {
         if let Some(mut cursor) = self.cursor(id).try_lock_arc()
@@ -509,7 +500,10 @@
             Ok(stored) => {
                 match &stored {
                     StoredRecord::Turn(_, turn, written) => {
-                        self.track_expiry(id, &record.key, turn, *written);
+                        self.track_expiry(id, &record.key, turn.retention, *written);
+                    }
+                    StoredRecord::Fragment(f) => {
+                        self.track_expiry(id, &record.key, f.retention, f.written);
                     }
                     StoredRecord::Claim(_, _, vm) if *vm == self.vm => {
                         self.claim_records.lock().push((id, record.key.clone()));
@@ -524,10 +518,25 @@
         }
     }
 
+    /// Adds a fragment of a turn, which is complete once all its fragments were read.
+    fn apply_fragment(&self, fragment: Fragment) {
+        let key = fragment.turn_key.clone();
+        let Some(encoded) = self.fragments.lock().add(fragment, self.clock.mono()) else {
+            return;
+        };
+        match stored_record::decode_turn(&encoded) {
+            Ok((id, turn)) => self.cache_turn(id, Arc::new(turn)),
+            Err(e) => {
+                log::error!(key = key.as_str(), error = e.to_string().as_str(); "cannot decode the fragments of a turn; skipped");
+            }
+        }
+    }
+
     /// Applies the content of a record to the state in memory.
     fn apply(&self, stored: StoredRecord) {
         match stored {
-            StoredRecord::Turn(id, turn, _) => self.turns.lock().insert(id, Arc::new(turn)),
+            StoredRecord::Turn(id, turn, _) => self.cache_turn(id, Arc::new(turn)),
+            StoredRecord::Fragment(fragment) => self.apply_fragment(fragment),
             StoredRecord::Allocation(program, id, tokens) => {
                 self.allocations
                     .lock()
@@ -546,27 +555,3 @@
         }
     }
 }
-
-/// Key of a turn's record.
-fn turn_key(id: &RequestId) -> String {
-    key(&format!("turn/{id}"))
-}
-
-/// Builds the record of an allocation, and its decoded content.
-fn allocation_record(program: ProgramKey, id: AllocationId, tokens: u64) -> (Record, StoredRecord) {
-    let key = key(&format!("taking/{program}/{}/{}", id.daemon, id.number));
-    let allocation = StoredRecord::Allocation(program, id, tokens);
-    let value = Some(encode(&allocation));
-    (Record { key, value }, allocation)
-}
-
-/// Derives a record key that is valid in URL paths from a name that may contain text
-/// chosen by callers.
-fn key(name: &str) -> String {
-    hex::encode(&Digest::of(name.as_bytes()).0[..16])
-}
-
-/// Encodes a record; records consist of numbers, strings and bytes, which always encode.
-fn encode(stored: &StoredRecord) -> Vec<u8> {
-    rmp_serde::to_vec(stored).expect("records encode")
-}
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -13,8 +13,8 @@
     },
 };
 
-/// Maximum size of a request, in bytes.
-const REQUEST_MAX_BYTES: u64 = 1024 * 1024;
+/// Maximum size of a request, in bytes; the largest turns and calls to the store fit.
+const REQUEST_MAX_BYTES: u64 = 16 * 1024 * 1024;
 
 /// Time within which a request has to arrive completely.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -93,7 +93,7 @@
     let cache_bytes = (settings.memory_bytes / CACHE_MEMORY_DIVISOR) as usize;
     let partitions = Partitions::new(
         Arc::clone(&store),
-        settings.store.partitions,
+        &settings.store,
         cache_bytes,
         settings.vm.clone(),
         clock,
--- /dev/null
+++ b/kingcupspan/src/gateway/stored_record.rs
@@ -0,0 +1,125 @@
+//! Content of the gateway's records in the store, and their keys.
+
+use kingcupspan_core::{
+    digest::Digest,
+    gateway::{
+        allocation::AllocationId,
+        call::{ProgramKey, RequestId},
+        fragment::Fragment,
+        grant::Incarnation,
+        history::Turn,
+    },
+    id::WallMs,
+};
+use kingcupspan_platform::store::Record;
+use rmp_serde::decode;
+use serde::{Deserialize, Serialize};
+
+/// Space in a record for its key and for what a fragment holds besides the turn's bytes.
+const FRAGMENT_OVERHEAD_BYTES: usize = 256;
+
+/// Content of a record in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum StoredRecord {
+    /// A turn with a complete answer, and the time at which it was stored.
+    Turn(RequestId, Turn, WallMs),
+
+    /// A fragment of a turn that does not fit into one record; the joined bytes are the
+    /// encoded id and turn.
+    Fragment(Fragment),
+
+    /// Number of tokens of a program's budget that a daemon allocated to itself.
+    #[serde(rename = "Taking")]
+    Allocation(ProgramKey, AllocationId, u64),
+
+    /// Offline grants are disabled for the program.
+    #[serde(rename = "Closed")]
+    GrantsDisabled(ProgramKey),
+
+    /// A claim on the program, with its holder, that the last daemon of the named VM
+    /// remembered.
+    Claim(ProgramKey, Incarnation, String),
+}
+
+impl StoredRecord {
+    /// Encodes the content with the record's key.
+    pub fn with_key(&self, key: String) -> Record {
+        Record {
+            key,
+            value: Some(encode(self)),
+        }
+    }
+}
+
+/// Records of a turn stored at `written`: one if it fits into `record_bytes`, otherwise one
+/// for each fragment.
+pub fn turn_records(
+    id: &RequestId,
+    turn: &Turn,
+    written: WallMs,
+    record_bytes: usize,
+) -> Vec<Record> {
+    let key = turn_key(id);
+    let max_bytes = record_bytes.saturating_sub(FRAGMENT_OVERHEAD_BYTES);
+    let whole = StoredRecord::Turn(id.clone(), turn.clone(), written).with_key(key.clone());
+    if whole.encoded_bytes() <= max_bytes {
+        return vec![whole];
+    }
+    let encoded = encode(&(id, turn));
+    Fragment::split(&key, turn.retention, written, &encoded, max_bytes)
+        .into_iter()
+        .map(|fragment| {
+            let key = fragment_key(id, fragment.index);
+            StoredRecord::Fragment(fragment).with_key(key)
+        })
+        .collect()
+}
+
+/// Decodes the joined fragments of a turn.
+pub fn decode_turn(encoded: &[u8]) -> Result<(RequestId, Turn), decode::Error> {
+    rmp_serde::from_slice(encoded)
+}
+
+/// Key of a turn's record, or of the record of its first fragment.
+pub fn turn_key(id: &RequestId) -> String {
+    key(&format!("turn/{id}"))
+}
+
+/// Key of the record of a fragment.
+fn fragment_key(id: &RequestId, index: u32) -> String {
+    match index {
+        0 => turn_key(id),
+        index => key(&format!("fragment/{index}/{id}")),
+    }
+}
+
+/// Builds the record of an allocation, and its decoded content.
+pub fn allocation(program: ProgramKey, id: AllocationId, tokens: u64) -> (Record, StoredRecord) {
+    let key = key(&format!("taking/{program}/{}/{}", id.daemon, id.number));
+    let allocation = StoredRecord::Allocation(program, id, tokens);
+    (allocation.with_key(key), allocation)
+}
+
+/// Builds the record that disables offline grants of a program, and its decoded content.
+pub fn grants_disabled(program: ProgramKey) -> (Record, StoredRecord) {
+    let key = key(&format!("closed/{program}"));
+    let disabled = StoredRecord::GrantsDisabled(program);
+    (disabled.with_key(key), disabled)
+}
+
+/// Builds the record of a claim that the daemon of a VM hands to the VM's next daemon.
+pub fn claim(program: ProgramKey, holder: Incarnation, vm: &str) -> Record {
+    let key = key(&format!("claim/{vm}/{program}"));
+    StoredRecord::Claim(program, holder, vm.to_owned()).with_key(key)
+}
+
+/// Derives a record key that is valid in URL paths from a name that may contain text
+/// chosen by callers.
+fn key(name: &str) -> String {
+    hex::encode(&Digest::of(name.as_bytes()).0[..16])
+}
+
+/// Encodes content; it consists of numbers, strings and bytes, which always encode.
+fn encode(content: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec(content).expect("records encode")
+}
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 
 mod budgets;
 mod fleet;
+mod large_turns;
 mod outages;
 mod requests;
 mod votes;
--- a/kingcupspan_core/src/gateway/history.rs
+++ b/kingcupspan_core/src/gateway/history.rs
@@ -34,7 +34,7 @@
 }
 
 /// Serialization of bytes as one MessagePack binary instead of a list of numbers.
-mod serde_bytes_vec {
+pub(crate) mod serde_bytes_vec {
     use serde::{Deserializer, Serializer, de};
 
     pub fn serialize<S: Serializer>(bytes: &[u8], s: S) -> Result<S::Ok, S::Error> {
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod events;
 pub mod expiry;
+pub mod fragment;
 pub mod grant;
 pub mod history;
 pub mod placement;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod events;
 mod expiry;
+mod fragment;
 mod grant;
 mod history;
 mod placement;
