Count turns in the call in flight as not stored when a daemon leaves

Cause: has_unstored_turns counted the queue and the replicas, not the batch that is being written or retried. A daemon that left with such a batch told its next run that it had left nothing behind, and that run answers 404 for turns that it does not know. Ruled out: waiting for the batch at the shutdown: the store may refuse it for longer than the grace period. Change: the queue of a partition counts the turns in flight; the dump's turns_not_stored too. Test: turn_that_was_never_stored_is_not_reported_as_unknown failed before and passes now. Such a turn is answered 503 from now on.

--- a/kingcupspan/src/gateway/backlog.rs
+++ b/kingcupspan/src/gateway/backlog.rs
@@ -32,13 +32,23 @@
     done: async_channel::Sender<()>,
 }
 
+/// Turns of one partition that this daemon writes to the store.
+#[derive(Default)]
+struct PartitionQueue {
+    /// Turns that wait for the next call.
+    waiting: Vec<PendingTurn>,
+
+    /// Number of turns in the call in flight.
+    in_flight: usize,
+}
+
 /// Queues of turns that this daemon writes to the store.
 pub struct Backlog {
     partitions: Arc<Partitions>,
 
     /// Queued turns by partition; a task writes the turns of each partition that has an
     /// entry.
-    queues: Mutex<HashMap<PartitionId, Vec<PendingTurn>>>,
+    queues: Mutex<HashMap<PartitionId, PartitionQueue>>,
 
     /// Replicas held for other daemons, with the time each one was received.
     replicas: Mutex<HashMap<RequestId, (Arc<Turn>, Instant)>>,
@@ -58,14 +68,15 @@
         }
     }
 
-    /// Number of turns that are queued.
-    pub fn queued_turns(&self) -> usize {
-        self.queues.lock().values().map(Vec::len).sum()
+    /// Number of turns that this daemon writes to the store and that are not stored yet.
+    pub fn unstored_turns(&self) -> usize {
+        let queues = self.queues.lock();
+        queues.values().map(|q| q.waiting.len() + q.in_flight).sum()
     }
 
-    /// Whether turns are queued or held for other daemons.
+    /// Whether turns are not stored yet, including those held for other daemons.
     pub fn has_unstored_turns(&self) -> bool {
-        self.queued_turns() > 0 || !self.replicas.lock().is_empty()
+        self.unstored_turns() > 0 || !self.replicas.lock().is_empty()
     }
 
     /// Queues a turn to be written to the store, with unlimited retries; the receiver is
@@ -80,10 +91,14 @@
         let pending = PendingTurn { id, turn, done };
         let mut queues = self.queues.lock();
         if let Some(queue) = queues.get_mut(&partition) {
-            queue.push(pending);
+            queue.waiting.push(pending);
             return stored;
         }
-        queues.insert(partition, vec![pending]);
+        let queue = PartitionQueue {
+            waiting: vec![pending],
+            in_flight: 0,
+        };
+        queues.insert(partition, queue);
         task::spawn(Arc::clone(self).drain(partition));
         stored
     }
@@ -121,16 +136,7 @@
 
     /// Writes the turns of a partition until its queue is empty.
     async fn drain(self: Arc<Self>, partition: PartitionId) {
-        loop {
-            let batch = {
-                let mut queues = self.queues.lock();
-                let Some(queue) = queues.get_mut(&partition).filter(|q| !q.is_empty()) else {
-                    queues.remove(&partition);
-                    return;
-                };
-                let len = queue.len().min(BATCH_MAX);
-                queue.drain(..len).collect::<Vec<_>>()
-            };
+        while let Some(batch) = self.next_batch(partition) {
             self.store(partition, &batch).await;
             for pending in batch {
                 // Nothing waits for a turn that peers have replicated.
@@ -139,6 +145,18 @@
         }
     }
 
+    /// Takes the turns of the next call; removes the queue if it is empty.
+    fn next_batch(&self, partition: PartitionId) -> Option<Vec<PendingTurn>> {
+        let mut queues = self.queues.lock();
+        let queue = queues.get_mut(&partition)?;
+        queue.in_flight = queue.waiting.len().min(BATCH_MAX);
+        if queue.in_flight == 0 {
+            queues.remove(&partition);
+            return None;
+        }
+        Some(queue.waiting.drain(..queue.in_flight).collect())
+    }
+
     /// Writes a batch of turns of one partition, retrying until it succeeds.
     async fn store(&self, partition: PartitionId, batch: &[PendingTurn]) {
         let turns: Vec<_> = batch
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -242,7 +242,7 @@
         "configuration": gateway.configuration.get(),
         "endpoints": endpoints,
         "turns_in_memory": gateway.partitions.cached_turn_count(),
-        "turns_not_stored": gateway.backlog.queued_turns(),
+        "turns_not_stored": gateway.backlog.unstored_turns(),
         "requests_under_way": gateway.shutdown.in_flight(),
         "stopping": gateway.shutdown.is_stopping()
     });
--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -172,6 +172,23 @@
     assert_eq!(fleet.engine.executed_requests(), []);
 }
 
+// Guards against turns that are reported as unknown after their daemons have restarted
+// gracefully while they were still being written to the store.
+#[async_std::test]
+async fn turn_that_was_never_stored_is_not_reported_as_unknown() {
+    let mut fleet = Fleet::start("gateway-never-stored", 3, 4_000).await;
+    fleet.store.set_behavior(StoreBehavior::RejectsTurns);
+    let answered = fleet.send(0, &Request::turn("p", "t1", None, 3_000)).await;
+    assert_eq!(answered.status, 200, "{answered:?}");
+    // Within this time the daemons that hold replicas try to store the turn as well.
+    task::sleep(Duration::from_millis(4_000)).await;
+    fleet.restart_all_gracefully().await;
+    let next = Request::turn("p", "t2", Some("t1"), 3_000);
+    let response = fleet.send(1, &next).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.retry_after.is_some());
+}
+
 #[async_std::test]
 async fn one_unresponsive_connection_to_the_store_is_no_outage() {
     let fleet = Fleet::start("gateway-silent", 1, 1_000).await;
