Cut off responses without end, and let other tasks run beside a busy connection

Cause: a task whose socket always has data never waits, so neither its own timeout nor other tasks of its thread are polled; events, collected output and interim responses had no limit, and an unfinished event was copied for each piece. Ruled out: a limit on events alone (interim responses and long bodies hang as well). Change: Conn::fill yields after four reads in a row that found data at once; limits on events (256 KiB), output (4 MiB), interim responses (64 KiB with the head).

--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -140,13 +140,16 @@
             Ok(None) if scanner.is_at_boundary() => break,
             Ok(None) | Err(_) => {
                 log::warn!(request = &*ex.id.0, events = scanner.events(); "event stream ended early");
-                return Err(match head {
-                    Some(_) => Error::EndpointFailed,
-                    None => Error::Partial,
-                });
+                return Err(broken_stream(head.is_none()));
+            }
+        };
+        let events = match scanner.push(&chunk) {
+            Ok(events) => events,
+            Err(e) => {
+                log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "breaking the event stream off");
+                return Err(broken_stream(head.is_none()));
             }
         };
-        let events = scanner.push(&chunk);
         if let Some(reservation) = &mut ex.reservation {
             reservation.used = scanner.events() * tokens_per_event;
         }
@@ -169,6 +172,14 @@
     })
 }
 
+/// Error of a stream that has not ended properly.
+fn broken_stream(has_begun: bool) -> Error {
+    match has_begun {
+        true => Error::Partial,
+        false => Error::EndpointFailed,
+    }
+}
+
 /// Builds the turn to store from the request and the collected output.
 fn completed_turn(ex: &mut Exchange, scanner: Scanner) -> Option<Turn> {
     let program = ex.info.program.as_ref()?;
--- a/kingcupspan/src/http/conn.rs
+++ b/kingcupspan/src/http/conn.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 
-use async_std::net::TcpStream;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use async_std::{net::TcpStream, task};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 
 use crate::http::{
     framing::{Framing, MalformedChunk, Step},
@@ -13,7 +13,11 @@
 /// Maximum number of bytes requested in one read.
 const READ_BYTES: usize = 16 * 1024;
 
-/// Maximum size of a response head.
+/// Number of reads that find data at once after which other tasks get to run; a task that
+/// never waits would hold up its own timeouts as well.
+const READS_BEFORE_YIELD: u32 = 4;
+
+/// Maximum size of a response head, together with the interim responses before it.
 const RESPONSE_HEAD_MAX_BYTES: usize = 64 * 1024;
 
 /// Error returned when a message cannot be read from a connection.
@@ -55,6 +59,9 @@
 
     /// Number of bytes at the start of `buf` that have been consumed.
     pos: usize,
+
+    /// Number of reads in a row that found data at once.
+    immediate_reads: u32,
 }
 
 impl Conn {
@@ -66,6 +73,7 @@
             stream,
             buf: Vec::new(),
             pos: 0,
+            immediate_reads: 0,
         }
     }
 
@@ -89,10 +97,29 @@
         self.pos = 0;
         let len = self.buf.len();
         self.buf.resize(len + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buf[len..]).await;
-        let n = *read.as_ref().unwrap_or(&0);
+        let mut read = self.stream.read(&mut self.buf[len..]);
+        let immediate = future::poll_once(&mut read).await;
+        let is_immediate = immediate.is_some();
+        let result = match immediate {
+            Some(result) => result,
+            None => read.await,
+        };
+        let n = *result.as_ref().unwrap_or(&0);
         self.buf.truncate(len + n);
-        read
+        self.yield_if_busy(is_immediate).await;
+        result
+    }
+
+    /// Lets other tasks run if the peer sends data faster than it is processed.
+    async fn yield_if_busy(&mut self, was_immediate: bool) {
+        self.immediate_reads = match was_immediate {
+            true => self.immediate_reads + 1,
+            false => 0,
+        };
+        if self.immediate_reads >= READS_BEFORE_YIELD {
+            self.immediate_reads = 0;
+            task::yield_now().await;
+        }
     }
 
     /// Frees the read buffer if it is empty, to save memory while the connection is idle.
@@ -120,6 +147,7 @@
 
     /// Reads the head of the response to a request with `method`, skipping interim responses.
     pub async fn response_head(&mut self, method: &str) -> Result<ResponseHead, ReadError> {
+        let mut interim_bytes = 0;
         loop {
             match head::parse_response(self.unread(), method)? {
                 Some((head, len)) => {
@@ -127,6 +155,10 @@
                     if head.status >= 200 {
                         return Ok(head);
                     }
+                    interim_bytes += len;
+                    if interim_bytes > RESPONSE_HEAD_MAX_BYTES {
+                        return Err(ReadError::HeadTooLarge);
+                    }
                 }
                 None if self.unread().len() > RESPONSE_HEAD_MAX_BYTES => {
                     return Err(ReadError::HeadTooLarge);
@@ -199,7 +231,7 @@
     /// Returns whether the connection is open and has no received data, buffered or pending.
     pub async fn is_idle(&self) -> bool {
         let mut buf = [0];
-        let peek = futures_lite::future::poll_once(self.stream.peek(&mut buf));
+        let peek = future::poll_once(self.stream.peek(&mut buf));
         self.unread().is_empty() && peek.await.is_none()
     }
 }
@@ -209,6 +241,6 @@
     let mut buf = [0];
     match stream.peek(&mut buf).await {
         Ok(0) | Err(_) => {}
-        Ok(_) => futures_lite::future::pending().await,
+        Ok(_) => future::pending().await,
     }
 }
--- a/kingcupspan/tests/common/process.rs
+++ b/kingcupspan/tests/common/process.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Requests a graceful shutdown with SIGTERM, without waiting for the exit.
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
--- a/kingcupspan_core/src/gateway/events.rs
+++ b/kingcupspan_core/src/gateway/events.rs
@@ -1,6 +1,18 @@
 //! Incremental parser of `text/event-stream` bodies, which splits them at the ends of
 //! complete events.
 
+/// Maximum size of one event, in bytes.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
+
+/// Maximum size of the collected output of a stream, in bytes.
+const OUTPUT_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Error returned when an event or the output of a stream exceeds its limit; an endpoint
+/// that fails may send without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("event stream exceeds its size limits")]
+pub struct StreamTooLarge;
+
 /// Parser of one event stream.
 #[derive(Debug, Default)]
 pub struct Scanner {
@@ -35,7 +47,7 @@
 
     /// Adds received bytes and returns all bytes up to the end of the last complete
     /// event that were not returned before.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, StreamTooLarge> {
         let mut complete = 0;
         for &byte in bytes {
             self.pending.push(byte);
@@ -43,9 +55,16 @@
                 complete = self.pending.len();
             }
         }
+        let incomplete = self.pending.len() - complete;
+        if incomplete > EVENT_MAX_BYTES || self.output.len() > OUTPUT_MAX_BYTES {
+            return Err(StreamTooLarge);
+        }
+        if complete == 0 {
+            return Ok(Vec::new());
+        }
         let rest = self.pending.split_off(complete);
         self.line_start -= complete;
-        std::mem::replace(&mut self.pending, rest)
+        Ok(std::mem::replace(&mut self.pending, rest))
     }
 
     /// Returns the number of complete events with data so far.
--- a/kingcupspan_core/tests/gateway/events.rs
+++ b/kingcupspan_core/tests/gateway/events.rs
@@ -12,6 +12,7 @@
     let mut scanner = Scanner::new(true);
     let complete =
         scanner.push(b"id: 1\ndata: a b\n\nid: 2\r\ndata:c\r\ndata: d\r\n\r\nid: 3\ndata: cut");
+    let complete = complete.expect("the events are small");
     insta::assert_snapshot!(String::from_utf8(complete).unwrap(), @"
     id: 1
     data: a b
@@ -25,6 +26,27 @@
     assert_eq!(scanner.into_output(), b"a b\nc\nd\n");
 }
 
+// Guards against endpoints that send an event without end.
+#[test]
+fn event_without_end_is_an_error() {
+    for piece in [&b"xxxxxxxxxxxxxxxx"[..], b"data: more of it\n"] {
+        let mut scanner = Scanner::new(true);
+        let pushes = (0..100_000).map(|_| scanner.push(piece));
+        let results: Vec<_> = pushes.take_while(Result::is_ok).collect();
+        assert!(results.len() * piece.len() <= 256 * 1024);
+        assert!(results.iter().all(|r| r == &Ok(Vec::new())));
+    }
+}
+
+#[test]
+fn output_without_end_is_an_error() {
+    let mut scanner = Scanner::new(true);
+    let event = event(1, &"x".repeat(1_000));
+    let pushes = (0..10_000).map(|_| scanner.push(event.as_bytes()));
+    let accepted = pushes.take_while(Result::is_ok).count();
+    assert!(accepted * 1_000 <= 4 * 1024 * 1024);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
@@ -39,7 +61,7 @@
                 break;
             }
             let (piece, after) = rest.split_at((*cut).min(rest.len()));
-            complete.extend(scanner.push(piece));
+            complete.extend(scanner.push(piece).expect("the events are small"));
             rest = after;
         }
         prop_assert_eq!(complete, stream.as_bytes());
