Claims on offline grants count for as long as their program goes on

Cause: a daemon that was killed counted as one that may have forgotten claims for the retention and the difference between clocks after its start. A program goes on as long as its turns follow each other within the retention, so a claim on it may be older than any fixed time. The model (budget_spec) has it right: there a restarted daemon is forgetful for the program's whole life. Ruled out: a longer fixed time (programs have no longest life); a time in the record of an allocation (daemons of the former version cannot decode it and would count too few tokens); a record of its own for each program (more bytes for each first allocation). Change: an allocation's number is the time at which it was made, so that the first one tells since when a program has been active; without any it is the last read of the records. Agreements, votes on offline grants and daemons that have left are judged by that time; claims are kept as long as allocations of their program are in memory. Conclusion: programs that were under way when all daemons were killed get half of their budget from the store until they end; nothing tells which of them had no offline grant.

--- a/kingcupspan/src/gateway/history_lookup.rs
+++ b/kingcupspan/src/gateway/history_lookup.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::{
     partitions::{PartitionId, Partitions},
-    peers::{PeerRequest, PeerResponse, Peers},
+    peers::{self, PeerRequest, PeerResponse, Peers},
     store::StoreFailure,
 };
 
@@ -61,10 +61,11 @@
         return from_store;
     }
     let all_responded = load_from_peers(partitions, peers, last).await;
+    let needed_since = peers::needed_since(peers.now(), retention);
     let found = partitions.chain(last).or(from_store);
     match found {
         Err(HistoryError::Unknown(id))
-            if !all_responded || peers.forgetful(retention).daemons > 0 =>
+            if !all_responded || peers.forgetful(needed_since).daemons > 0 =>
         {
             Err(HistoryError::PossiblyLost(id))
         }
--- a/kingcupspan/src/gateway/ledger/grants.rs
+++ b/kingcupspan/src/gateway/ledger/grants.rs
@@ -178,16 +178,17 @@
     /// Counts the votes of all daemons on an offline grant of this daemon, which has the
     /// claim on the program.
     fn tally(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> GrantTally {
+        let needed_since = self.claims_needed_since(request);
         let local = self.peers.local_entry();
         let own = Ballot {
-            vote: self.peers.vote(&local, request.retention),
+            vote: self.peers.vote(&local, needed_since),
             domain: local.domain.clone(),
         };
         let absent = |domain| Ballot {
             domain,
             vote: Vote::Missing,
         };
-        let left = self.peers.domains_of_left(request.retention);
+        let left = self.peers.domains_of_left(needed_since);
         let mut ballots = poll.ballots.clone();
         ballots.push(own);
         ballots.extend(left.into_iter().map(absent));
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -17,10 +17,13 @@
 };
 
 use async_std::{sync::Mutex as AsyncMutex, task};
-use kingcupspan_core::gateway::{
-    allocation::{self, AllocationId, BudgetState, LocalQuota, TokenBalance},
-    call::ProgramKey,
-    grant::{ClaimReport, GrantAgreement, GrantClaims, Incarnation},
+use kingcupspan_core::{
+    gateway::{
+        allocation::{self, AllocationId, BudgetState, LocalQuota, TokenBalance},
+        call::ProgramKey,
+        grant::{ClaimReport, GrantAgreement, GrantClaims, Incarnation},
+    },
+    id::WallMs,
 };
 use parking_lot::Mutex;
 
@@ -30,7 +33,7 @@
     gateway::{
         connectivity::Connectivity,
         partitions::Partitions,
-        peers::{Peer, PeerResponse, Peers, Purpose},
+        peers::{self, Peer, PeerResponse, Peers, Purpose},
         store::StoreFailure,
     },
 };
@@ -107,7 +110,7 @@
     partitions: Arc<Partitions>,
     peers: Arc<Peers>,
     connectivity: Connectivity,
-    last_allocation_number: Mutex<u64>,
+    last_allocation: Mutex<WallMs>,
     accounts: Mutex<HashMap<ProgramKey, Arc<Account>>>,
     claims: Mutex<GrantClaims>,
 
@@ -165,7 +168,7 @@
             partitions,
             peers,
             connectivity,
-            last_allocation_number: Mutex::default(),
+            last_allocation: Mutex::default(),
             accounts: Mutex::default(),
             claims: Mutex::default(),
             has_handed_over: AtomicBool::default(),
@@ -250,7 +253,9 @@
             .lock()
             .retain(|p, g| g.unrecorded > 0 || has_account(p));
         let granted: Vec<ProgramKey> = self.grants.lock().keys().cloned().collect();
-        let is_retained = |p: &ProgramKey| has_account(p) || granted.contains(p);
+        let is_retained = |p: &ProgramKey| {
+            has_account(p) || granted.contains(p) || self.partitions.has_allocations(p)
+        };
         let before = self.clock.before(span);
         self.claims().expire(before, is_retained);
     }
@@ -417,7 +422,7 @@
     /// allocations must leave for past offline grants, or `None` if not all daemons agreed or
     /// a claim may have been lost.
     fn disable_own_grants(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> Option<u64> {
-        let forgetful = self.peers.forgetful(request.retention);
+        let forgetful = self.peers.forgetful(self.claims_needed_since(request));
         let local_claim = {
             let mut claims = self.claims();
             let claim = claims.claim_mut(request.program, self.clock.mono());
@@ -445,6 +450,13 @@
         agreement.required_reserve(allocation::limit(request.budget, request.max_tokens))
     }
 
+    /// Time since which daemons must have remembered claims on a program: as long as the
+    /// program goes on, it may have had turns.
+    fn claims_needed_since(&self, request: TokenRequest<'_>) -> WallMs {
+        let active_since = self.partitions.active_since(request.program);
+        peers::needed_since(active_since.min(self.clock.wall()), request.retention)
+    }
+
     /// Number of tokens allocated by daemons that have ended; it is unknown how many of
     /// these tokens were used.
     fn allocated_by_ended_daemons(&self, program: &ProgramKey) -> u64 {
@@ -510,11 +522,11 @@
 
     /// Creates an id for a new allocation of this daemon.
     fn next_allocation_id(&self) -> AllocationId {
-        let mut number = self.last_allocation_number.lock();
-        *number += 1;
+        let mut last = self.last_allocation.lock();
+        *last = self.clock.wall().max(WallMs(last.0 + 1));
         AllocationId {
             daemon: self.peers.local.incarnation.clone(),
-            number: *number,
+            made_at: *last,
         }
     }
 }
--- a/kingcupspan/src/gateway/ledger/peer_poll.rs
+++ b/kingcupspan/src/gateway/ledger/peer_poll.rs
@@ -85,6 +85,7 @@
             sender: self.peers.local.incarnation.clone(),
             purpose,
         };
+        let needed_since = self.claims_needed_since(request);
         let mut poll = PeerPoll::default();
         for (peer, response) in self.peers.send_all(peers, &release).await {
             if matches!(&response, Ok(PeerResponse::Released { remaining_quota, .. }) if remaining_quota.allocated > 0)
@@ -94,7 +95,7 @@
                     .lock()
                     .insert(peer.incarnation.clone());
             }
-            let vote = self.peers.vote(&peer, request.retention);
+            let vote = self.peers.vote(&peer, needed_since);
             poll.add(peer.domain, vote, response.ok());
         }
         poll
--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -6,7 +6,7 @@
 //! partition from where its last read ended, and only when it needs the records.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     mem,
     sync::Arc,
     time::Duration,
@@ -26,7 +26,7 @@
         grant::Incarnation,
         history::{Turn, TurnCache},
     },
-    id::WallMs,
+    id::{MonoMs, WallMs},
 };
 use kingcupspan_platform::{
     settings::StoreSettings,
@@ -70,6 +70,13 @@
     pub number: u32,
 }
 
+/// Time at which a read began.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReadTime {
+    mono: MonoMs,
+    wall: WallMs,
+}
+
 /// Read position in a partition, locked while the partition is read.
 type SharedCursor = Arc<AsyncMutex<PartitionCursor>>;
 
@@ -87,8 +94,9 @@
     limits: StoreLimits,
     cursors: Mutex<HashMap<PartitionId, SharedCursor>>,
 
-    /// Partitions that were read completely at least once since the process started.
-    read_partitions: Mutex<HashSet<PartitionId>>,
+    /// Partitions that were read completely since the process started, with the start of the
+    /// last such read.
+    last_reads: Mutex<HashMap<PartitionId, ReadTime>>,
 
     expiry: Mutex<HashMap<PartitionId, TurnExpiry>>,
     turns: Mutex<TurnCache>,
@@ -131,7 +139,7 @@
             partitions_per_topic: settings.partitions,
             limits: settings.limits,
             cursors: Mutex::default(),
-            read_partitions: Mutex::default(),
+            last_reads: Mutex::default(),
             expiry: Mutex::default(),
             turns: Mutex::new(TurnCache::new(cache_bytes)),
             fragments: Mutex::default(),
@@ -184,9 +192,25 @@
 
     /// Whether the allocations of a program were read since the process started.
     pub fn has_read_allocations(&self, program: &ProgramKey) -> bool {
-        self.read_partitions
-            .lock()
-            .contains(&self.partition_of_program(program))
+        self.last_read(program).is_some()
+    }
+
+    /// Last read of the allocations of a program; `None` since the process started.
+    fn last_read(&self, program: &ProgramKey) -> Option<ReadTime> {
+        let id = self.partition_of_program(program);
+        self.last_reads.lock().get(&id).copied()
+    }
+
+    /// Earliest time at which a program can have become active, according to the records
+    /// read so far: the time of its first allocation, or the last read that found none.
+    pub fn active_since(&self, program: &ProgramKey) -> WallMs {
+        let first = self.allocations.lock().first_made_at(program);
+        first.unwrap_or_else(|| self.last_read(program).unwrap_or_default().wall)
+    }
+
+    /// Whether allocations of a program are in memory.
+    pub fn has_allocations(&self, program: &ProgramKey) -> bool {
+        self.allocations.lock().contains(program)
     }
 
     /// Whether the records read so far disable offline grants for a program.
@@ -198,8 +222,8 @@
     /// `span`.
     pub fn expire(&self, span: Duration) {
         let before = self.clock.before(span);
-        self.allocations.lock().expire(before);
         self.fragments.lock().expire(before);
+        self.allocations.lock().expire(|_| before);
     }
 
     /// Number of tokens of a program that each daemon has allocated, according to the
@@ -409,9 +433,20 @@
         stored: StoredRecord,
     ) -> Result<(), StoreFailure> {
         let id = self.partition_of_program(program);
+        let started_at = self.read_time();
         let offset = self.group_commit.append(id, record).await?;
         self.apply(stored);
-        self.read_up_to(id, offset).await
+        self.read_up_to(id, offset).await?;
+        self.last_reads.lock().insert(id, started_at);
+        Ok(())
+    }
+
+    /// The current time, at the start of a read.
+    fn read_time(&self) -> ReadTime {
+        ReadTime {
+            mono: self.clock.mono(),
+            wall: self.clock.wall(),
+        }
     }
 
     /// Moves the cursor past records of this daemon if no other records precede them.
@@ -472,6 +507,7 @@
         id: PartitionId,
         cursor: &mut MutexGuardArc<PartitionCursor>,
     ) -> Result<(), StoreFailure> {
+        let started_at = self.read_time();
         let partition = self.store_partition(id);
         let advanced = cursor.advance(&self.store, partition, Duration::ZERO);
         let changes = advanced.await?;
@@ -479,7 +515,7 @@
             .records()
             .iter()
             .for_each(|r| self.apply_record(id, r));
-        self.read_partitions.lock().insert(id);
+        self.last_reads.lock().insert(id, started_at);
         Ok(())
     }
 
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers.rs
@@ -77,10 +77,10 @@
 }
 
 impl Peer {
-    /// Whether the daemon may lack state that daemons have put into memory within the last
-    /// `span`, because it was started within that time.
-    fn is_forgetful(&self, now: WallMs, span: Duration) -> bool {
-        !self.has_complete_state && is_recent(self.started, now, span)
+    /// Whether the daemon may lack state that daemons have put into memory since
+    /// `needed_since`, because it was started later.
+    fn is_forgetful(&self, needed_since: WallMs) -> bool {
+        !self.has_complete_state && self.started >= needed_since
     }
 }
 
@@ -109,10 +109,11 @@
     pub is_complete: bool,
 }
 
-/// Whether a time on some VM's clock lies within the last `span`.
-fn is_recent(at: WallMs, now: WallMs, span: Duration) -> bool {
-    let span = span + CLOCK_SKEW_MAX;
-    now.0.saturating_sub(at.0) <= span.as_millis() as u64
+/// Time, on any VM's clock, since which daemons must have kept state in memory that was of
+/// use to someone until `retention` before `at`.
+pub fn needed_since(at: WallMs, retention: Duration) -> WallMs {
+    let span = retention + CLOCK_SKEW_MAX;
+    WallMs(at.0.saturating_sub(span.as_millis() as u64))
 }
 
 /// Daemons that may lack state that others hold only in memory, since they were started
@@ -479,14 +480,13 @@
     }
 
     /// Counts the daemons, including this one, that may lack state that daemons have put
-    /// into memory within the last `span`.
-    pub fn forgetful(&self, span: Duration) -> ForgetfulDaemons {
-        let now = self.clock.wall();
+    /// into memory since `needed_since`.
+    pub fn forgetful(&self, needed_since: WallMs) -> ForgetfulDaemons {
         let mut all = self.others();
         all.push(self.local_entry());
         let (forgetful, others): (Vec<Peer>, Vec<Peer>) =
-            all.into_iter().partition(|p| p.is_forgetful(now, span));
-        let left = self.domains_of_left(span);
+            all.into_iter().partition(|p| p.is_forgetful(needed_since));
+        let left = self.domains_of_left(needed_since);
         let has_other = |domain: &String| others.iter().any(|o| o.domain == *domain);
         let mut domains = left.iter().chain(forgetful.iter().map(|p| &p.domain));
         ForgetfulDaemons {
@@ -497,30 +497,24 @@
     }
 
     /// Classifies the vote of a daemon that agrees to an offline grant, by what it may have
-    /// forgotten of the last `span`.
-    pub fn vote(&self, peer: &Peer, span: Duration) -> Vote {
-        let now = self.clock.wall();
-        if !peer.is_forgetful(now, span) {
+    /// forgotten since `needed_since`.
+    pub fn vote(&self, peer: &Peer, needed_since: WallMs) -> Vote {
+        if !peer.is_forgetful(needed_since) {
             return Vote::Agrees;
         }
         let vms = self.vms.read();
         let joined = vms.get(&peer.vm).map(|v| v.joined);
-        match joined.is_some_and(|at| is_recent(at, now, span)) {
+        match joined.is_some_and(|at| at >= needed_since) {
             true => Vote::New,
             false => Vote::Missing,
         }
     }
 
-    /// Failure domains of the VMs whose daemons have left within the last `span`, one for
-    /// each VM that has not started another daemon.
-    pub fn domains_of_left(&self, span: Duration) -> Vec<String> {
-        let now = self.clock.wall();
+    /// Failure domains of the VMs whose daemons have left since `needed_since`, one for each
+    /// VM that has not started another daemon.
+    pub fn domains_of_left(&self, needed_since: WallMs) -> Vec<String> {
         let vms = self.vms.read();
-        let has_left = |v: &&VmEntry| {
-            v.shutdown
-                .as_ref()
-                .is_some_and(|s| is_recent(s.at, now, span))
-        };
+        let has_left = |v: &&VmEntry| v.shutdown.as_ref().is_some_and(|s| s.at >= needed_since);
         vms.values()
             .filter(has_left)
             .map(|v| v.domain.clone())
--- a/kingcupspan/src/gateway/stored_record.rs
+++ b/kingcupspan/src/gateway/stored_record.rs
@@ -95,7 +95,7 @@
 
 /// Builds the record of an allocation, and its decoded content.
 pub fn allocation(program: ProgramKey, id: AllocationId, tokens: u64) -> (Record, StoredRecord) {
-    let key = key(&format!("taking/{program}/{}/{}", id.daemon, id.number));
+    let key = key(&format!("taking/{program}/{}/{}", id.daemon, id.made_at.0));
     let allocation = StoredRecord::Allocation(program, id, tokens);
     (allocation.with_key(key), allocation)
 }
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::{future, task};
-use kingcupspan_platform_standin::{caller::Request, store::StoreBehavior};
+use kingcupspan_platform_standin::{
+    caller::Request, endpoint::EndpointBehavior, settings, store::StoreBehavior,
+};
+use serde_json::json;
 
 use crate::fleet::Fleet;
 
@@ -81,6 +84,71 @@
     );
 }
 
+/// Makes the engine generate the given number of events, of ten tokens each, in a turn.
+fn set_events_per_turn(fleet: &Fleet, events: u32) {
+    fleet.engine.set_behavior(EndpointBehavior::Stream {
+        events,
+        pause: Duration::from_millis(1),
+    });
+}
+
+/// Sends turns of a program to all daemons in rotation until one is refused; returns the
+/// number of tokens received.
+async fn spend_until_refused(fleet: &Fleet, program: &str, name: &str, budget: u64) -> usize {
+    let mut tokens = 0;
+    for round in 0..60 {
+        let turn = Request::turn(program, &format!("{name}{round}"), None, budget);
+        let response = fleet.send(round % fleet.daemons.len(), &turn).await;
+        tokens += 10 * response.body.matches("data: ").count();
+        if response.status != 200 {
+            break;
+        }
+    }
+    tokens
+}
+
+// Guards against offline grants that are forgotten although their program goes on: it may
+// do so for longer than a turn is kept.
+#[async_std::test]
+async fn forgotten_grant_counts_as_long_as_its_program_goes_on() {
+    const BUDGET: u64 = 1_000;
+    let mut fleet = Fleet::start("gateway-long-program", 3, 4_000).await;
+    let mut configuration = settings::configuration(2, 4_000);
+    configuration["routes"][0]["retention_s"] = json!(2.0);
+    fleet
+        .store
+        .put("keyed.op", "config", Some(&configuration.to_string()));
+    task::sleep(Duration::from_millis(1_500)).await;
+    set_events_per_turn(&fleet, 10);
+    let first = fleet
+        .send(0, &Request::turn("p", "first", None, BUDGET))
+        .await;
+    assert_eq!(first.status, 200, "{first:?}");
+    let mut tokens = 100;
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    tokens += spend_until_refused(&fleet, "p", "offline", BUDGET).await;
+    fleet.daemons.iter_mut().for_each(|d| d.kill());
+    fleet.store.set_behavior(StoreBehavior::Available);
+    for daemon in 0..fleet.daemons.len() {
+        fleet.restart(daemon);
+    }
+    fleet.wait_until_ready().await;
+    set_events_per_turn(&fleet, 1);
+    // The retention and the difference between clocks add up to twelve seconds.
+    for round in 0..14 {
+        let turn = Request::turn("p", &format!("slow{round}"), None, BUDGET);
+        let response = fleet.send(round % 3, &turn).await;
+        tokens += 10 * response.body.matches("data: ").count();
+        task::sleep(Duration::from_millis(1_000)).await;
+    }
+    set_events_per_turn(&fleet, 10);
+    tokens += spend_until_refused(&fleet, "p", "fast", BUDGET).await;
+    assert!(
+        (700..=1_100).contains(&tokens),
+        "received {tokens} tokens; the limit is the budget of 1,000 plus one turn of 100"
+    );
+}
+
 #[async_std::test]
 async fn graceful_shutdown_returns_unused_tokens() {
     let mut fleet = Fleet::start("gateway-return", 2, 2_000).await;
--- a/kingcupspan_core/src/gateway/allocation.rs
+++ b/kingcupspan_core/src/gateway/allocation.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     gateway::{call::ProgramKey, grant::Incarnation},
-    id::MonoMs,
+    id::{MonoMs, WallMs},
 };
 
 /// Identifier of an allocation within a program.
@@ -28,8 +28,10 @@
     #[serde(rename = "taker")]
     pub daemon: Incarnation,
 
-    /// Number of the allocation, which increases with each allocation of the daemon.
-    pub number: u64,
+    /// Time of the allocation, advanced where needed so that it increases with each
+    /// allocation of the daemon.
+    #[serde(rename = "number")]
+    pub made_at: WallMs,
 }
 
 /// The allocations of all programs, as read from the store so far.
@@ -75,9 +77,21 @@
             .is_some_and(|p| p.grants_disabled)
     }
 
-    /// Removes programs of which no record was read since `before`.
-    pub fn expire(&mut self, before: MonoMs) {
-        self.programs.retain(|_, p| p.last_read >= before);
+    /// Removes programs of which no record was read since the time that `before` returns.
+    pub fn expire(&mut self, before: impl Fn(&ProgramKey) -> MonoMs) {
+        self.programs
+            .retain(|program, p| p.last_read >= before(program));
+    }
+
+    /// Whether a record of a program was read and the program has not been removed since.
+    pub fn contains(&self, program: &ProgramKey) -> bool {
+        self.programs.contains_key(program)
+    }
+
+    /// Returns the time of a program's first allocation; `None` if no allocation was read.
+    pub fn first_made_at(&self, program: &ProgramKey) -> Option<WallMs> {
+        let program = self.programs.get(program)?;
+        program.allocations.keys().map(|id| id.made_at).min()
     }
 
     /// Returns the tokens of a program allocated by all daemons together.
--- a/kingcupspan_core/tests/gateway/budget_spec.rs
+++ b/kingcupspan_core/tests/gateway/budget_spec.rs
@@ -20,7 +20,7 @@
             Ballot, GrantAgreement, GrantClaim, GrantConditions, GrantTally, Incarnation, Vote,
         },
     },
-    id::MonoMs,
+    id::{MonoMs, WallMs},
 };
 
 /// Tokens that all daemons together may hold.
@@ -558,9 +558,9 @@
 
 #[test]
 fn tokens_unused_by_concurrent_turns_are_given_back() {
-    let id = |number| AllocationId {
+    let id = |ms| AllocationId {
         daemon: "a".into(),
-        number,
+        made_at: WallMs(ms),
     };
     let mut quota = LocalQuota::default();
     let mut allocations = vec![(id(1), 300), (id(2), 200)];
@@ -588,12 +588,30 @@
     let program = ProgramKey::from("p");
     let id = AllocationId {
         daemon: "a".into(),
-        number: 1,
+        made_at: WallMs(1),
     };
     let mut allocations = Allocations::default();
     allocations.apply(&program, id, 5, MonoMs(1_000));
-    allocations.expire(MonoMs(1_000));
+    allocations.expire(|_| MonoMs(1_000));
     assert_eq!(allocations.total_allocated(&program), 5);
-    allocations.expire(MonoMs(1_001));
+    allocations.expire(|_| MonoMs(1_001));
     assert_eq!(allocations.total_allocated(&program), 0);
+    assert!(!allocations.contains(&program));
+}
+
+// Guards against programs that are taken for younger than they are: returned and undone
+// allocations show since when a program has been active.
+#[test]
+fn first_allocation_is_known_after_its_tokens_were_returned() {
+    let program = ProgramKey::from("p");
+    let id = |daemon: &str, ms| AllocationId {
+        daemon: daemon.into(),
+        made_at: WallMs(ms),
+    };
+    let mut allocations = Allocations::default();
+    assert_eq!(allocations.first_made_at(&program), None);
+    allocations.apply(&program, id("b", 7_000), 50, MonoMs(10));
+    allocations.apply(&program, id("a", 9_000), 50, MonoMs(20));
+    allocations.apply(&program, id("b", 7_000), 0, MonoMs(30));
+    assert_eq!(allocations.first_made_at(&program), Some(WallMs(7_000)));
 }
