Keep allocations in memory until a read shows that their program has ended

Cause: a daemon dropped a program for which it had read no record for five minutes, also if it had not read the partition since. Its next read continued where the last one ended, so that it took the later records for all of them and could allocate more than was left (BUDGET). Ruled out: reading the whole partition again (the cost grows with all programs of the store). Change: a program is dropped once its partition was read to five minutes after the program's last record. Test: allocations_are_known_until_a_read_shows_that_their_program_has_ended.

--- a/kingcupspan/src/gateway/partitions.rs
+++ b/kingcupspan/src/gateway/partitions.rs
@@ -218,12 +218,16 @@
         self.allocations.lock().grants_disabled(program)
     }
 
-    /// Removes programs and incomplete turns from memory for which no record was read within
-    /// `span`.
+    /// Removes incomplete turns from memory of which no fragment was read within `span`, and
+    /// programs that had no record within `span` when their partition was last read; later
+    /// records are not known yet.
     pub fn expire(&self, span: Duration) {
-        let before = self.clock.before(span);
-        self.fragments.lock().expire(before);
-        self.allocations.lock().expire(|_| before);
+        self.fragments.lock().expire(self.clock.before(span));
+        let before = |program: &ProgramKey| {
+            let last_read = self.last_read(program).unwrap_or_default().mono;
+            MonoMs(last_read.0.saturating_sub(span.as_millis() as u64))
+        };
+        self.allocations.lock().expire(before);
     }
 
     /// Number of tokens of a program that each daemon has allocated, according to the
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod large_turns;
 mod outages;
 mod requests;
+mod shared_records;
 mod votes;
 
 use std::fmt::Write;
--- /dev/null
+++ b/kingcupspan/tests/gateway/shared_records.rs
@@ -0,0 +1,81 @@
+//! What daemons know of the token allocations in the store while they read it seldom.
+
+use std::{net, sync::Arc, time::Duration};
+
+use async_std::task;
+use kingcupspan::{
+    clock::Clock,
+    gateway::{
+        partitions::Partitions,
+        peers::{Peer, Peers},
+        store::Store,
+    },
+};
+use kingcupspan_core::{
+    gateway::{allocation::AllocationId, call::ProgramKey},
+    id::WallMs,
+};
+use kingcupspan_platform::{settings::StoreSettings, store::StoreLimits};
+use kingcupspan_platform_standin::store;
+
+use crate::process;
+
+/// Memory of a daemon for turns, in bytes.
+const CACHE_BYTES: usize = 1_000_000;
+
+/// Creates a daemon's view of the records in the store at `addr`.
+fn partitions(vm: &str, addr: net::SocketAddr) -> Partitions {
+    let clock = Clock::default();
+    let local = Peer {
+        vm: vm.to_owned(),
+        incarnation: format!("{vm}/1").into(),
+        addr: net::SocketAddr::new(net::Ipv4Addr::LOCALHOST.into(), 1),
+        domain: "a".to_owned(),
+        started: clock.wall(),
+        has_complete_state: true,
+    };
+    let store = Arc::new(Store::new(addr, Arc::new(Peers::new(local, clock))));
+    let settings = StoreSettings {
+        addr,
+        partitions: 1,
+        limits: StoreLimits {
+            record_bytes: 262_144,
+            call_bytes: 2_097_152,
+        },
+    };
+    Partitions::new(store, &settings, CACHE_BYTES, vm.to_owned(), clock)
+}
+
+/// Allocates tokens of a program to a daemon.
+async fn allocate(partitions: &Partitions, daemon: &str, program: &ProgramKey, tokens: u64) {
+    let id = AllocationId {
+        daemon: daemon.into(),
+        made_at: WallMs(tokens),
+    };
+    let allocated = partitions.allocate(program, &id, tokens).await;
+    allocated.expect("the store accepts records");
+}
+
+// Guards against daemons that allocate more than is left, since they have dropped what they
+// knew of a program that went on at other daemons.
+#[async_std::test]
+async fn allocations_are_known_until_a_read_shows_that_their_program_has_ended() {
+    let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 9000);
+    task::spawn(Arc::new(store::Store::default()).serve(addr));
+    let (busy, idle) = (partitions("busy", addr), partitions("idle", addr));
+    let (program, other) = (ProgramKey::from("p"), ProgramKey::from("q"));
+    allocate(&busy, "busy", &program, 100).await;
+    allocate(&idle, "idle", &program, 20).await;
+    allocate(&busy, "busy", &program, 300).await;
+    let span = Duration::from_millis(50);
+    task::sleep(span * 2).await;
+    idle.expire(span);
+    allocate(&idle, "idle", &program, 4).await;
+    assert_eq!(idle.total_allocated(&program), 424);
+    // Once records of others show that the program had none within the span, it is dropped.
+    task::sleep(span * 2).await;
+    allocate(&idle, "idle", &other, 5).await;
+    idle.expire(span);
+    assert!(!idle.has_allocations(&program));
+    assert!(idle.has_allocations(&other));
+}
