Survive numbers too large to be true and records that cannot be read

What callers saw: nothing here yet; from other operators' reports (odd entries among those of the endpoints ended processes or stopped them from following the list). Cause: sums and products of reported load and slots overflowed, a panic in builds with overflow checks and a wrong choice of endpoint without them. A record without a readable key made a whole read fail, at each attempt, so that the list was not followed any more. Evidence: numbers_of_any_size_are_compared on the commit before: attempt to multiply with overflow. Ruled out, each shown by odd_entries_name_no_endpoint_and_hold_nothing_up, which passed before as well: nesting 200,000 deep, numbers out of range, ports out of range, other types, bytes. Change: loads are added up without overflow; records that cannot be decoded are skipped and counted, so that the next read continues behind them; a page continues behind its last key.

--- a/kingcupspan/src/gateway/partition_cursor.rs
+++ b/kingcupspan/src/gateway/partition_cursor.rs
@@ -60,7 +60,7 @@
         if let Some(offset) = self.next_offset
             && let Read::Batch(batch) = store.read(partition, offset, wait).await?
         {
-            self.next_offset = Some(offset + batch.records.len() as u64);
+            self.next_offset = Some(offset + batch.len);
             return Ok(Changes::Appended(batch.records));
         }
         let newest = store.newest(partition).await?;
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -200,10 +200,10 @@
     pub async fn newest(&self, partition: Partition<'_>) -> Result<Newest, StoreFailure> {
         let mut newest = Newest::default();
         let mut is_first = true;
+        let mut last_key: Option<String> = None;
         loop {
-            let after = newest.records.last().map(|r| r.key.as_str());
             let call = Call {
-                path: partition.newest_path(after),
+                path: partition.newest_path(last_key.as_deref()),
                 proxy_path: None,
                 body: None,
                 timeout: CALL_TIMEOUT,
@@ -219,7 +219,9 @@
             }
             is_first = false;
             newest.records.extend(page.records);
-            if !page.has_more {
+            // A page without records would be returned again and again.
+            last_key = page.last_key;
+            if !page.has_more || last_key.is_none() {
                 return Ok(newest);
             }
         }
--- a/kingcupspan/src/gateway/upstream.rs
+++ b/kingcupspan/src/gateway/upstream.rs
@@ -380,7 +380,10 @@
         let reported = self.reported.filter(is_fresh);
         Load {
             in_flight: self.in_flight,
-            reported: reported.map(|r| (r.load + self.in_flight).saturating_sub(r.in_flight)),
+            reported: reported.map(|r| {
+                let load = r.load.saturating_add(self.in_flight);
+                load.saturating_sub(r.in_flight)
+            }),
             is_failing: self.is_suspect,
         }
     }
--- a/kingcupspan/tests/gateway/requests.rs
+++ b/kingcupspan/tests/gateway/requests.rs
@@ -204,6 +204,51 @@
     assert_eq!(response.status, 503);
 }
 
+// Guards against entries of another writer in the list of endpoints that end a daemon or stop
+// it from following the list.
+#[async_std::test]
+async fn odd_entries_name_no_endpoint_and_hold_nothing_up() {
+    let mut fleet = Fleet::start("gateway-odd-entries", 1, 1_000).await;
+    let nested = "[".repeat(200_000);
+    let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 1);
+    let entry = settings::entry("plain", addr, "ready").to_string();
+    let odd = [
+        nested.clone(),
+        format!("{{\"service\":{nested}"),
+        format!("{{\"more\":{nested}{}", "]".repeat(200_000)),
+        entry.replace("\"slots\":4", "\"slots\":1e999"),
+        entry.replace("\"slots\":4", "\"slots\":4294967296"),
+        entry.replace("\"slots\":4", "\"slots\":-1"),
+        entry.replace("\"born\":1", "\"born\":1e400"),
+        entry.replace(":1\"", ":65536\""),
+        entry.replace(":1\"", ":-1\""),
+        entry.replace("\"ready\"", "7"),
+        "null".to_owned(),
+        "\u{0}\u{1}".to_owned(),
+    ];
+    for (i, value) in odd.iter().enumerate() {
+        assert_ne!(*value, entry, "entry {i} is not odd");
+        fleet
+            .store
+            .put("keyed.servers", &format!("odd{i}"), Some(value));
+    }
+    fleet.store.put("keyed.servers", "p1", None);
+    task::sleep(Duration::from_millis(1_500)).await;
+    let before = fleet.service_endpoints[0].executed_requests().len();
+    for i in 0..8 {
+        let response = fleet
+            .send(0, &Request::plain("/unsafe/", &format!("o{i}")))
+            .await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(fleet.service_endpoints[0].executed_requests().len(), before);
+    // A daemon that starts now reads the list as a whole.
+    fleet.daemons[0].kill();
+    fleet.restart(0);
+    fleet.wait_until_ready().await;
+    assert!(fleet.daemons[0].is_running());
+}
+
 #[async_std::test]
 async fn a_graceful_shutdown_completes_requests_and_then_refuses_connections() {
     let mut fleet = Fleet::start("gateway-stop", 1, 5_000).await;
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -35,10 +35,13 @@
 /// known.
 pub fn utilization(engines: &[Candidate]) -> Option<f64> {
     let known = engines.iter().filter(|c| c.load.reported.is_some());
-    let (requests, slots) = known.fold((0, 0), |(requests, slots), c| {
-        (requests + c.load.estimate(), slots + c.endpoint.slots)
+    let (requests, slots) = known.fold((0.0, 0.0), |(requests, slots), c| {
+        (
+            requests + f64::from(c.load.estimate()),
+            slots + f64::from(c.endpoint.slots),
+        )
     });
-    (slots > 0).then(|| f64::from(requests) / f64::from(slots))
+    (slots > 0.0).then(|| requests / slots)
 }
 
 /// Whether a new program of the given rank (0 is the highest) may begin.
--- a/kingcupspan_core/src/gateway/placement.rs
+++ b/kingcupspan_core/src/gateway/placement.rs
@@ -55,7 +55,8 @@
 
     /// Returns the requests per slot in percent; above 100, requests are waiting.
     fn utilization(&self) -> u32 {
-        self.load.estimate() * 100 / self.endpoint.slots.max(1)
+        let percent = u64::from(self.load.estimate()) * 100 / u64::from(self.endpoint.slots.max(1));
+        u32::try_from(percent).unwrap_or(u32::MAX)
     }
 
     /// Returns the utilization in percent; an endpoint that has not reported its load
@@ -97,7 +98,7 @@
     if let Some(last_engine) = last_engine.filter(|i| utilization(i) < MOVE_THRESHOLD_PERCENT) {
         return Some(last_engine);
     }
-    let max_utilization = (mean + mean / 4).max(FULL_PERCENT / 2);
+    let max_utilization = mean.saturating_add(mean / 4).max(FULL_PERCENT / 2);
     let with_room = order
         .iter()
         .copied()
@@ -118,15 +119,13 @@
 /// Returns the mean utilization of the engines whose load is known, in percent, or 0 if
 /// no load is known.
 fn mean_utilization(candidates: &[Candidate]) -> u32 {
-    let known: Vec<u32> = candidates
+    let known: Vec<u64> = candidates
         .iter()
         .filter(|c| c.load.reported.is_some())
-        .map(Candidate::utilization)
+        .map(|c| u64::from(c.utilization()))
         .collect();
-    match known.len() as u32 {
-        0 => 0,
-        n => known.iter().sum::<u32>() / n,
-    }
+    let mean = known.iter().sum::<u64>() / known.len().max(1) as u64;
+    u32::try_from(mean).unwrap_or(u32::MAX)
 }
 
 /// Chooses an endpoint of a plain service, one that runs no model, and returns its index.
--- a/kingcupspan_core/tests/gateway/placement.rs
+++ b/kingcupspan_core/tests/gateway/placement.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kingcupspan_core::gateway::{
+    admission,
     endpoint::{Endpoint, State},
     placement::{self, Candidate, Load},
 };
@@ -181,3 +182,23 @@
     }
     assert_eq!(load, [5, 5, 5, 5]);
 }
+
+// Guards against endpoints whose load or slots are too large to be true.
+#[test]
+fn numbers_of_any_size_are_compared() {
+    let mut candidates = reporting([u32::MAX, 3]);
+    candidates[0].load.in_flight = 7;
+    let mut huge = (*candidates[1].endpoint).clone();
+    huge.slots = u32::MAX;
+    candidates[1].endpoint = Arc::new(huge);
+    let chosen = placement::choose_engine(&candidates, "program", None, &[]);
+    assert_eq!(chosen, Some(1));
+    assert_eq!(
+        placement::choose_service_endpoint(&candidates, "x", 0, &[]),
+        Some(1)
+    );
+    let huge = Arc::clone(&candidates[1].endpoint);
+    candidates[0].endpoint = huge;
+    let utilization = admission::utilization(&candidates).expect("the load is known");
+    assert!((0.0..1.0).contains(&utilization), "{utilization}");
+}
