Do not send an attempt again on a connection on which it was refused

Cause: an attempt that the first endpoint refused, and then the second one, went back to the first one on the same pooled connection, under the same id. A late second copy of the first rejection was taken as the response to the second send. Ruled out: dropping each connection after a refusal (every refusal would cost a connection); fewer sends (the second endpoint may have room only later). Change: connections are numbered; the exchange remembers those on which it was refused, and the pool passes over them. Test: a_repeated_rejection_is_not_taken_for_another_one failed before and passes now.

--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -42,7 +42,9 @@
         shutdown::Shutdown,
         store::Store,
         turn_storage,
-        upstream::{EndpointResponse, OutgoingRequest, RequestGuard, SendError, Upstream},
+        upstream::{
+            ConnectionId, EndpointResponse, OutgoingRequest, RequestGuard, SendError, Upstream,
+        },
     },
     http::{
         conn::{self, Conn},
@@ -372,6 +374,7 @@
     ) -> Result<(EndpointResponse, RequestGuard), Failure> {
         let body = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
+        let mut refused_on: Vec<ConnectionId> = Vec::new();
         loop {
             let endpoint = self
                 .choose_endpoint(ex, &tried)
@@ -389,6 +392,7 @@
                 fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
                 body: &body,
                 deadline: ex.deadline,
+                refused_on: &refused_on,
             };
             ex.last_endpoint = Some(endpoint.id.clone());
             if let Some(key) = ex.info.placement_key() {
@@ -404,6 +408,7 @@
             match sent {
                 Ok(response) if response.info.not_executed => {
                     log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = response.head.status; "endpoint refused the request");
+                    refused_on.push(response.connection_id());
                     relay::discard(response).await;
                 }
                 Ok(response) if !response.is_trusted() => {
--- a/kingcupspan/src/gateway/upstream.rs
+++ b/kingcupspan/src/gateway/upstream.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     io,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -81,6 +84,20 @@
 
     /// Time until which the caller waits for the response.
     pub deadline: Instant,
+
+    /// Connections on which the endpoint has refused this attempt. It is not sent on them
+    /// again: a second copy of a refusal could not be told from a response.
+    pub refused_on: &'a [ConnectionId],
+}
+
+/// Identifies a connection to an endpoint among all that this daemon has opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(u64);
+
+/// A connection to an endpoint.
+struct EndpointConnection {
+    id: ConnectionId,
+    conn: Conn,
 }
 
 impl OutgoingRequest<'_> {
@@ -102,7 +119,7 @@
 
 /// An idle connection and the time until which it may be reused.
 struct IdleConnection {
-    conn: Conn,
+    connection: EndpointConnection,
     expires_at: Instant,
 }
 
@@ -141,6 +158,9 @@
 pub struct Upstream {
     states: Mutex<HashMap<InstanceId, EndpointState>>,
 
+    /// Number of connections opened so far.
+    opened_connections: AtomicU64,
+
     /// Receives reports of crashed endpoints.
     crashes: async_channel::Sender<Vec<Crash>>,
 }
@@ -167,7 +187,7 @@
     /// Information that the endpoint passed in headers.
     pub info: ResponseInfo,
 
-    conn: Conn,
+    connection: EndpointConnection,
     upstream: Arc<Upstream>,
     endpoint: Endpoint,
     sent: SentRequest,
@@ -178,6 +198,7 @@
     pub fn new(crashes: async_channel::Sender<Vec<Crash>>) -> Self {
         Self {
             states: Mutex::default(),
+            opened_connections: AtomicU64::default(),
             crashes,
         }
     }
@@ -220,15 +241,16 @@
         endpoint: &Endpoint,
         out: &OutgoingRequest<'_>,
     ) -> Result<EndpointResponse, SendError> {
-        let mut conn = match self.take_idle(&endpoint.id).await {
-            Some(conn) => conn,
+        let mut connection = match self.take_idle(&endpoint.id, out.refused_on).await {
+            Some(connection) => connection,
             None => self.connect(endpoint).await?,
         };
+        let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = encode(endpoint, out, remaining);
         let response = async {
             conn.write(&request).await?;
-            read_response_head(&mut conn, out).await
+            read_response_head(conn, out).await
         };
         let head = match response.await {
             Ok(head) => head,
@@ -243,28 +265,35 @@
         Ok(EndpointResponse {
             head,
             info,
-            conn,
+            connection,
             upstream: Arc::clone(self),
             endpoint: endpoint.clone(),
             sent: out.sent_request(),
         })
     }
 
-    /// Takes an idle connection that is still usable.
-    async fn take_idle(&self, id: &InstanceId) -> Option<Conn> {
+    /// Takes an idle connection that is still usable and not among `refused_on`.
+    async fn take_idle(
+        &self,
+        id: &InstanceId,
+        refused_on: &[ConnectionId],
+    ) -> Option<EndpointConnection> {
         loop {
-            let idle = self.states.lock().get_mut(id)?.idle.pop()?;
-            if idle.expires_at > Instant::now() && idle.conn.is_idle().await {
-                return Some(idle.conn);
+            let idle = self.states.lock().get_mut(id)?.pop_idle(refused_on)?;
+            if idle.expires_at > Instant::now() && idle.connection.conn.is_idle().await {
+                return Some(idle.connection);
             }
         }
     }
 
     /// Opens a connection; a failure marks the endpoint as suspect.
-    async fn connect(self: &Arc<Self>, endpoint: &Endpoint) -> Result<Conn, SendError> {
+    async fn connect(
+        self: &Arc<Self>,
+        endpoint: &Endpoint,
+    ) -> Result<EndpointConnection, SendError> {
         let connect = future::timeout(CONNECT_TIMEOUT, TcpStream::connect(endpoint.addr));
         let failure = match connect.await {
-            Ok(Ok(stream)) => return Ok(new_connection(stream)),
+            Ok(Ok(stream)) => return Ok(self.new_connection(stream)),
             Ok(Err(e)) => e,
             Err(_) => io::ErrorKind::TimedOut.into(),
         };
@@ -273,6 +302,17 @@
         Err(SendError::NotSent(failure.to_string()))
     }
 
+    /// Sets the socket options of a new connection and numbers it.
+    fn new_connection(&self, stream: TcpStream) -> EndpointConnection {
+        if let Err(e) = tcp::set_options(&stream) {
+            log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
+        }
+        EndpointConnection {
+            id: ConnectionId(self.opened_connections.fetch_add(1, Ordering::Relaxed)),
+            conn: Conn::new(stream),
+        }
+    }
+
     /// Drops all idle connections to an endpoint after one of its connections failed, since
     /// the others are likely broken as well.
     fn drop_idle(&self, id: &InstanceId) {
@@ -304,7 +344,7 @@
                 let unanswered = std::mem::take(&mut state.unanswered);
                 if let Ok(Ok(stream)) = stream {
                     state.is_suspect = false;
-                    state.add_idle(new_connection(stream), DEFAULT_IDLE_TIMEOUT);
+                    state.add_idle(self.new_connection(stream), DEFAULT_IDLE_TIMEOUT);
                     return;
                 }
                 self.report_crash(&endpoint, unanswered);
@@ -348,32 +388,36 @@
     }
 
     /// Returns a connection to the idle connections after a complete response.
-    fn return_connection(&self, id: &InstanceId, conn: Conn, headers: &Headers) {
+    fn return_connection(
+        &self,
+        id: &InstanceId,
+        connection: EndpointConnection,
+        headers: &Headers,
+    ) {
         let advertised = headers.get("keep-alive").and_then(keep_alive_timeout);
         let timeout = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN));
         if let Some(state) = self.states.lock().get_mut(id) {
-            state.add_idle(conn, timeout);
+            state.add_idle(connection, timeout);
         }
     }
 }
 
-/// Sets the socket options of a new connection and wraps it.
-fn new_connection(stream: TcpStream) -> Conn {
-    if let Err(e) = tcp::set_options(&stream) {
-        log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
-    }
-    Conn::new(stream)
-}
-
 impl EndpointState {
     /// Keeps a connection for reuse within `timeout`.
-    fn add_idle(&mut self, conn: Conn, timeout: Duration) {
+    fn add_idle(&mut self, connection: EndpointConnection, timeout: Duration) {
         self.idle.push(IdleConnection {
-            conn,
+            connection,
             expires_at: Instant::now() + timeout,
         });
     }
 
+    /// Takes the idle connection that was used last and is not among `except`.
+    fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
+        let is_allowed = |i: &IdleConnection| !except.contains(&i.connection.id);
+        let position = self.idle.iter().rposition(is_allowed)?;
+        Some(self.idle.remove(position))
+    }
+
     /// Returns the load, adding requests sent since the last report.
     fn load(&self, now: Instant) -> Load {
         let is_fresh = |r: &LoadReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
@@ -396,9 +440,15 @@
         self.info.is_signed || !(200..300).contains(&self.head.status)
     }
 
+    /// Returns the connection on which the response arrived.
+    pub fn connection_id(&self) -> ConnectionId {
+        self.connection.id
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
-        let chunk = self.conn.read_body_chunk(&mut self.head.framing).await;
+        let conn = &mut self.connection.conn;
+        let chunk = conn.read_body_chunk(&mut self.head.framing).await;
         if chunk.is_err() {
             self.upstream
                 .mark_suspect(&self.endpoint, Some(self.sent.clone()));
@@ -408,10 +458,10 @@
 
     /// Makes the connection available for reuse after the complete body has been read.
     pub fn release_connection(self) {
-        let is_reusable = self.head.is_keep_alive && self.conn.unread().is_empty();
+        let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
         if is_reusable {
             self.upstream
-                .return_connection(&self.endpoint.id, self.conn, &self.head.headers);
+                .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
         }
     }
 }
--- a/kingcupspan/tests/gateway/requests.rs
+++ b/kingcupspan/tests/gateway/requests.rs
@@ -121,6 +121,28 @@
     );
 }
 
+// Guards against a second copy of a rejection that is taken as the response to the same request,
+// sent once more on the same connection: the request has run although 503 says that it has not.
+#[async_std::test]
+async fn a_repeated_rejection_is_not_taken_for_another_one() {
+    let fleet = Fleet::start("gateway-repeated", 1, 1_000).await;
+    fleet
+        .service_endpoints
+        .iter()
+        .for_each(|p| p.set_behavior(EndpointBehavior::RepeatsRejection));
+    for i in 0..20 {
+        let id = format!("r{i}");
+        let response = fleet.send(0, &Request::plain("/unsafe/", &id)).await;
+        let executed = fleet.service_endpoints.iter();
+        let runs = executed.flat_map(|p| p.executed_requests());
+        let runs = runs.filter(|r| r.id == id).count();
+        assert!(
+            (response.status, runs) == (503, 0) || (response.status, runs) == (200, 1),
+            "{runs} runs: {response:?}"
+        );
+    }
+}
+
 #[async_std::test]
 async fn a_response_to_another_request_is_skipped() {
     let fleet = Fleet::start("gateway-crossed", 1, 1_000).await;
