--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -13,7 +13,9 @@
 };
 
 use crate::{
-    gateway::{connectivity::Connectivity, ledger::Reservation, shutdown::Shutdown},
+    gateway::{
+        connectivity::Connectivity, ledger::Reservation, shutdown::Shutdown, upstream::ConnectionId,
+    },
     http::head::RequestHead,
 };
 
@@ -64,6 +66,9 @@
     /// The endpoint that the request was last sent to.
     pub last_endpoint: Option<InstanceId>,
 
+    /// Connections on which endpoints have refused the request.
+    pub refused_on: Vec<ConnectionId>,
+
     /// Decides whether the caller should reconnect to another daemon.
     pub connection_policy: ConnectionPolicy,
 }
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -42,9 +42,7 @@
         shutdown::Shutdown,
         store::Store,
         turn_storage,
-        upstream::{
-            ConnectionId, EndpointResponse, OutgoingRequest, RequestGuard, SendError, Upstream,
-        },
+        upstream::{EndpointResponse, OutgoingRequest, RequestGuard, SendError, Upstream},
     },
     http::{
         conn::{self, Conn},
@@ -202,6 +200,7 @@
             reservation: None,
             progress: Progress::NotSent,
             last_endpoint: None,
+            refused_on: Vec::new(),
         })
     }
 
@@ -374,7 +373,6 @@
     ) -> Result<(EndpointResponse, RequestGuard), Failure> {
         let body = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
-        let mut refused_on: Vec<ConnectionId> = Vec::new();
         loop {
             let endpoint = self
                 .choose_endpoint(ex, &tried)
@@ -392,7 +390,7 @@
                 fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
                 body: &body,
                 deadline: ex.deadline,
-                refused_on: &refused_on,
+                refused_on: &ex.refused_on,
             };
             ex.last_endpoint = Some(endpoint.id.clone());
             if let Some(key) = ex.info.placement_key() {
@@ -408,7 +406,7 @@
             match sent {
                 Ok(response) if response.info.not_executed => {
                     log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = response.head.status; "endpoint refused the request");
-                    refused_on.push(response.connection_id());
+                    ex.refused_on.push(response.connection_id());
                     relay::discard(response).await;
                 }
                 Ok(response) if !response.is_trusted() => {
