Reset the connection of an HTTP/1.0 caller when its response breaks off

What callers saw: a stream that had broken off looked complete to a caller that knows no chunks, since its connection was closed in order (MIXED). Cause: without chunks the end of the connection is the end of the response. Ruled out: resetting all broken responses: a caller with chunks sees the missing end, and a reset may take events away that it has not read. Change: the connection is reset when it is dropped, for HTTP/1.0 only.

--- a/kingcupspan/src/http/conn.rs
+++ b/kingcupspan/src/http/conn.rs
@@ -1,9 +1,10 @@
 //! Buffered HTTP/1.1 connection.
 
-use std::io;
+use std::{io, time::Duration};
 
 use async_std::{net::TcpStream, task};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use socket2::SockRef;
 
 use crate::http::{
     framing::{Framing, MalformedChunk, Step},
@@ -228,6 +229,13 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Makes the connection be reset when it is dropped, so that a response that ends with its
+    /// connection does not look complete.
+    pub fn reset_on_drop(&self) {
+        // If this fails, the connection is in no state in which it could look complete.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Returns whether the connection is open and has no received data, buffered or pending.
     pub async fn is_idle(&self) -> bool {
         let mut buf = [0];
