Do not wait for the end of a rejection that ends with its connection

What callers saw: 504 at the deadline for a request that an endpoint had rejected without a length, while another endpoint had room. Cause: a rejection is read to its end so that its connection can be reused; one without a length ends with its connection, and its request waited for that. Change: responses whose connection cannot be reused are dropped, others are read for 50 ms. Test: responses_without_length.rs: complete, cut and reset bodies, plain and streams, the next endpoint's error, HTTP/1.0 callers, open rejections.

--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -1,5 +1,8 @@
 //! Forwards an endpoint's response to the caller.
 
+use std::time::Duration;
+
+use async_std::future;
 use kingcupspan_core::gateway::{events::Scanner, history::Turn};
 
 use crate::{
@@ -17,6 +20,9 @@
 /// reused, in bytes.
 const DISCARD_MAX_BYTES: usize = 64 * 1024;
 
+/// Time for reading a discarded response; its request may be waiting for another endpoint.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Final chunk of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -42,17 +48,29 @@
     Partial,
 }
 
-/// Reads and discards a response so that its connection can be reused.
+/// Reads and discards a response so that its connection can be reused; closes the connection
+/// if that takes too long or cannot succeed.
 pub async fn discard(mut response: EndpointResponse) {
+    if !response.head.is_keep_alive {
+        return;
+    }
+    let read = future::timeout(DISCARD_TIMEOUT, read_to_end(&mut response)).await;
+    if read == Ok(true) {
+        response.release_connection();
+    }
+}
+
+/// Reads the rest of a body; returns false if it breaks off or is too large.
+async fn read_to_end(response: &mut EndpointResponse) -> bool {
     let mut len = 0;
     while len <= DISCARD_MAX_BYTES {
         match response.next_chunk().await {
             Ok(Some(chunk)) => len += chunk.len(),
-            Ok(None) => return response.release_connection(),
-            // The connection is closed when the response is dropped.
-            Err(_) => return,
+            Ok(None) => return true,
+            Err(_) => return false,
         }
     }
+    false
 }
 
 /// Buffers a response completely before forwarding it, unless its body is too large.
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod large_turns;
 mod outages;
 mod requests;
+mod responses_without_length;
 mod shared_records;
 mod votes;
 
