Send nothing to an endpoint that says in a response that it leaves

Cause: the header Server-Leaving was not known. The message is logged once. Ruled out: using such endpoints for drain_ms as a last resort (a second more at the most, for services all of whose endpoints leave at once).

--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -55,6 +55,14 @@
         self.directory.lock().ready(service, self.clock.mono())
     }
 
+    /// Records that an endpoint has announced its shutdown in a response.
+    pub fn note_leaving(&self, endpoint: &Endpoint) {
+        let now = self.clock.mono();
+        if self.directory.lock().note_leaving(endpoint, now) {
+            log::info!(endpoint = &*endpoint.id.0; "endpoint says that it leaves; sending it no further requests");
+        }
+    }
+
     /// Returns all endpoints, for the state dump.
     pub fn all(&self) -> Vec<Arc<Endpoint>> {
         self.directory.lock().all()
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve.rs
@@ -399,6 +399,9 @@
             ex.progress = Progress::Sent;
             let sent = self.upstream.send(&endpoint, &outgoing).await;
             tried.push(endpoint.id.clone());
+            if matches!(&sent, Ok(response) if response.info.is_leaving) {
+                self.endpoints.note_leaving(&endpoint);
+            }
             self.metrics
                 .sends
                 .with_label_values(&[send_outcome(&sent)])
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -97,6 +97,15 @@
         endpoint
     }
 
+    /// Returns the address that the list in the store gives for a plain endpoint.
+    pub fn plain_endpoint_addr(&self, id: &str) -> net::SocketAddr {
+        let entry = self.store.newest_value("keyed.servers", id);
+        let entry = entry.expect("the endpoint is listed");
+        let entry: serde_json::Value = serde_json::from_slice(&entry).expect("the entry is JSON");
+        let addr = entry["address"].as_str().expect("the entry has an address");
+        addr.parse().expect("the address is one")
+    }
+
     /// Waits until every daemon serves requests and has read the list of daemons.
     pub async fn wait_until_ready(&self) {
         let started_at = Instant::now();
--- a/kingcupspan/tests/gateway/requests.rs
+++ b/kingcupspan/tests/gateway/requests.rs
@@ -8,6 +8,7 @@
     endpoint::EndpointBehavior,
     settings,
 };
+use serde_json::json;
 
 use crate::{fleet::Fleet, process};
 
@@ -271,6 +272,64 @@
     assert!(fleet.daemons[0].is_running());
 }
 
+// Guards against requests that reach an endpoint after it has said in a response that it leaves,
+// although the list of endpoints does not say so.
+#[async_std::test]
+async fn an_endpoint_that_says_that_it_leaves_gets_no_requests() {
+    let fleet = Fleet::start("gateway-leaving", 1, 1_000).await;
+    let [leaving, other] = &fleet.service_endpoints;
+    leaving.set_leaving(true);
+    for (name, behavior) in [
+        ("plain", EndpointBehavior::Plain),
+        ("full", EndpointBehavior::Full),
+    ] {
+        leaving.set_behavior(behavior);
+        // At the latest the second request reaches it; it says that it leaves.
+        for i in 0..2 {
+            fleet
+                .send(0, &Request::plain("/unsafe/", &format!("{name}{i}")))
+                .await;
+        }
+        leaving.set_behavior(EndpointBehavior::Plain);
+        let before = leaving.executed_requests().len();
+        // Its entry is written again, as at each heartbeat.
+        let entry = fleet.store.newest_value("keyed.servers", "p1");
+        let entry = entry.and_then(|e| String::from_utf8(e).ok());
+        fleet.store.put("keyed.servers", "p1", entry.as_deref());
+        for i in 0..8 {
+            let request = Request::plain("/unsafe/", &format!("{name}-later{i}"));
+            assert_eq!(fleet.send(0, &request).await.status, 200);
+            task::sleep(Duration::from_millis(120)).await;
+        }
+        assert_eq!(leaving.executed_requests().len(), before, "{name}");
+        assert!(other.executed_requests().len() >= 8);
+        // The endpoint is started again under its id.
+        let addr = fleet.plain_endpoint_addr("p1");
+        let mut entry = settings::entry("plain", addr, "ready");
+        entry["born"] = json!(2 + before);
+        fleet
+            .store
+            .put("keyed.servers", "p1", Some(&entry.to_string()));
+        leaving.set_leaving(false);
+        task::sleep(Duration::from_millis(900)).await;
+        for i in 0..4 {
+            let request = Request::plain("/unsafe/", &format!("{name}-again{i}"));
+            assert_eq!(fleet.send(0, &request).await.status, 200);
+        }
+        assert!(leaving.executed_requests().len() > before, "{name}");
+        leaving.set_leaving(true);
+    }
+    // Both say so: the request is refused at once.
+    other.set_leaving(true);
+    for i in 0..3 {
+        fleet
+            .send(0, &Request::plain("/unsafe/", &format!("last{i}")))
+            .await;
+    }
+    let refused = fleet.send(0, &Request::plain("/unsafe/", "none")).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+}
+
 #[async_std::test]
 async fn a_graceful_shutdown_completes_requests_and_then_refuses_connections() {
     let mut fleet = Fleet::start("gateway-stop", 1, 5_000).await;
--- a/kingcupspan_core/src/gateway/endpoint.rs
+++ b/kingcupspan_core/src/gateway/endpoint.rs
@@ -20,6 +20,10 @@
 /// An entry expires only after several missed heartbeats.
 const MIN_OUTAGE_MS: u64 = 1_000;
 
+/// How long the announcement of a shutdown is kept for an endpoint that is not listed, in
+/// milliseconds; a list that was read during an outage may be as old as that.
+const LEAVING_KEPT_MS: u64 = 3_600_000;
+
 /// Identifier of an endpoint.
 #[derive(
     Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
@@ -74,11 +78,25 @@
     grace_until: Option<MonoMs>,
 }
 
+/// Run of an endpoint that has announced its shutdown in a response.
+#[derive(Debug, Clone, Copy)]
+struct LeavingRun {
+    /// Start of the run; an endpoint that is started again may be used.
+    started_at_ms: u64,
+
+    /// Time of the last response with the announcement.
+    announced: MonoMs,
+}
+
 /// Directory of all listed endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     entries: HashMap<InstanceId, Entry>,
 
+    /// Endpoints that have announced their shutdown in a response. The list may not say so
+    /// yet, or again list an endpoint that has left.
+    leaving: HashMap<InstanceId, LeavingRun>,
+
     /// Time at which the store recovered from its last outage.
     recovered: Option<MonoMs>,
 }
@@ -131,6 +149,32 @@
         }
     }
 
+    /// Records that an endpoint has announced its shutdown in a response: this run of it
+    /// accepts no new requests any more, whatever the list says. Returns whether that was
+    /// not known before.
+    pub fn note_leaving(&mut self, endpoint: &Endpoint, now: MonoMs) -> bool {
+        let is_news = !self.is_leaving(endpoint);
+        let run = LeavingRun {
+            started_at_ms: endpoint.started_at_ms,
+            announced: now,
+        };
+        self.leaving.insert(endpoint.id.clone(), run);
+        is_news
+    }
+
+    /// Whether this run of an endpoint has announced its shutdown.
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let run = self.leaving.get(&endpoint.id);
+        run.is_some_and(|r| r.started_at_ms == endpoint.started_at_ms)
+    }
+
+    /// Whether an entry can be used for new requests.
+    fn is_usable(&self, entry: &Entry, now: MonoMs) -> bool {
+        entry.endpoint.state == State::Ready
+            && entry.grace_until.is_none_or(|until| now < until)
+            && !self.is_leaving(&entry.endpoint)
+    }
+
     /// Returns the end of the grace period for entries removed at `now`, if there is one.
     fn grace_until(&self, now: MonoMs) -> Option<MonoMs> {
         let until = MonoMs(self.recovered?.0 + RELIST_GRACE_MS);
@@ -142,8 +186,7 @@
         let mut ready: Vec<Arc<Endpoint>> = self
             .entries
             .values()
-            .filter(|e| e.grace_until.is_none_or(|until| now < until))
-            .filter(|e| e.endpoint.state == State::Ready && e.endpoint.service == *service)
+            .filter(|e| e.endpoint.service == *service && self.is_usable(e, now))
             .map(|e| Arc::clone(&e.endpoint))
             .collect();
         ready.sort_by(|a, b| a.id.cmp(&b.id));
@@ -152,9 +195,8 @@
 
     /// Whether an endpoint accepts new requests.
     pub fn is_ready(&self, id: &InstanceId, now: MonoMs) -> bool {
-        self.entries.get(id).is_some_and(|e| {
-            e.endpoint.state == State::Ready && e.grace_until.is_none_or(|until| now < until)
-        })
+        let entry = self.entries.get(id);
+        entry.is_some_and(|e| self.is_usable(e, now))
     }
 
     /// Whether the directory has no entries.
@@ -170,9 +212,14 @@
             .collect()
     }
 
-    /// Removes entries whose grace period has ended.
+    /// Removes entries whose grace period has ended, and announcements of endpoints that
+    /// have not been listed for a long time.
     pub fn expire(&mut self, now: MonoMs) {
         self.entries
             .retain(|_, e| e.grace_until.is_none_or(|until| now < until));
+        let entries = &self.entries;
+        self.leaving.retain(|id, run| {
+            entries.contains_key(id) || now.0 < run.announced.0 + LEAVING_KEPT_MS
+        });
     }
 }
--- a/kingcupspan_core/tests/gateway/directory.rs
+++ b/kingcupspan_core/tests/gateway/directory.rs
@@ -63,3 +63,29 @@
     directory.remove(&"a".into(), MonoMs(5_000));
     assert_eq!(ready(&directory, 5_000), [""; 0]);
 }
+
+// Guards against requests to an endpoint that has announced its shutdown in a response, also if
+// it is listed as ready again.
+#[test]
+fn leaving_endpoint_is_not_ready_until_it_was_started_again() {
+    let mut directory = Directory::default();
+    let old = endpoint("a", State::Ready);
+    directory.insert(old.clone());
+    directory.note_leaving(&old, MonoMs(100));
+    assert_eq!(ready(&directory, 100), [""; 0]);
+    directory.insert(old.clone());
+    directory.replace(vec![old.clone()], MonoMs(9_000_000));
+    directory.expire(MonoMs(9_000_000));
+    assert_eq!(ready(&directory, 9_000_000), [""; 0]);
+    directory.replace(vec![], MonoMs(9_000_100));
+    directory.note_leaving(&old, MonoMs(9_000_100));
+    directory.expire(MonoMs(9_060_000));
+    directory.insert(old);
+    assert_eq!(ready(&directory, 9_060_000), [""; 0]);
+    let restarted = Endpoint {
+        started_at_ms: 2,
+        ..endpoint("a", State::Ready)
+    };
+    directory.insert(restarted);
+    assert_eq!(ready(&directory, 9_060_000), ["a"]);
+}
