--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -4,11 +4,12 @@
 //! holds them as its local quota, out of which turns reserve tokens. Daemons hand unused
 //! tokens to each other.
 
+mod account;
 mod grants;
 mod peer_poll;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -16,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use async_std::{sync::Mutex as AsyncMutex, task};
+use async_std::task;
 use kingcupspan_core::{
     gateway::{
         allocation::{self, AllocationId, BudgetState, LocalQuota, TokenBalance},
@@ -27,7 +28,8 @@
 };
 use parking_lot::Mutex;
 
-use self::{grants::OfflineGrants, peer_poll::PeerPoll};
+pub use self::account::Reservation;
+use self::{account::Account, grants::OfflineGrants, peer_poll::PeerPoll};
 use crate::{
     clock::Clock,
     gateway::{
@@ -41,10 +43,6 @@
 /// Pause before peers are polled again for tokens that turns in flight may return.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause before all daemons are asked again to disable offline grants, after not all of
-/// them agreed.
-const AGREEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Time without a new turn of a program after which its excess tokens are returned.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -70,40 +68,6 @@
     StoreUnavailable(#[from] StoreFailure),
 }
 
-/// This daemon's state of the token budget of one program.
-#[derive(Default)]
-struct Account {
-    quota: Mutex<LocalQuota>,
-
-    /// Held by the turn that obtains tokens from the store or from peers.
-    obtain_lock: AsyncMutex<()>,
-
-    /// Valid allocations of this daemon, with the number of tokens of each.
-    allocations: Mutex<Vec<(AllocationId, u64)>>,
-
-    /// Tokens that allocations must leave unallocated to cover past offline grants; `None`
-    /// until all daemons have disabled offline grants.
-    grant_reserve: Mutex<Option<u64>>,
-
-    /// Time of the last turn, and the maximum number of tokens that the turn may use.
-    last_request: Mutex<Option<(Instant, u64)>>,
-
-    /// Other daemons that have held tokens of the program.
-    quota_holders: Mutex<HashSet<Incarnation>>,
-
-    /// Time at which the daemons were last asked to disable offline grants and not all of
-    /// them agreed.
-    last_disagreement: Mutex<Option<Instant>>,
-}
-
-impl Account {
-    /// Returns whether to ask all daemons now to disable offline grants.
-    fn should_request_agreement(&self) -> bool {
-        let is_due = |at: Instant| at.elapsed() >= AGREEMENT_RETRY_DELAY;
-        self.grant_reserve.lock().is_none() && self.last_disagreement.lock().is_none_or(is_due)
-    }
-}
-
 /// Token accounts of all programs on this daemon.
 pub struct Ledger {
     clock: Clock,
@@ -120,22 +84,6 @@
     grants: Mutex<HashMap<ProgramKey, OfflineGrants>>,
 }
 
-/// Tokens reserved for one turn; dropping the reservation makes the unused tokens
-/// available to other turns.
-pub struct Reservation {
-    account: Arc<Account>,
-    max_tokens: u64,
-
-    /// Number of tokens used so far.
-    pub used: u64,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.account.quota.lock().settle(self.max_tokens, self.used);
-    }
-}
-
 /// Request of a turn for tokens.
 #[derive(Debug, Clone, Copy)]
 pub struct TokenRequest<'a> {
--- a/kingcupspan/src/gateway/peers.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -1,8 +1,10 @@
-//! The other daemons, and the requests that daemons send to each other.
+//! The other daemons, and a client for requests to them.
+
+mod member;
+mod message;
 
 use std::{
     collections::{HashMap, HashSet},
-    net,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -12,19 +14,16 @@
 
 use async_std::task;
 use kingcupspan_core::{
-    gateway::{
-        allocation::LocalQuota,
-        call::{ProgramKey, RequestId},
-        crash_tracker::Crash,
-        grant::{ClaimReport, Incarnation, Vote},
-        history::Turn,
-    },
+    gateway::grant::{Incarnation, Vote},
     id::WallMs,
 };
 use parking_lot::{Mutex, RwLock};
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 
+pub use self::{
+    member::{ForgetfulDaemons, GracefulShutdown, Peer, VmEntry, needed_since},
+    message::{LendRequest, PeerRequest, PeerResponse, Purpose},
+};
 use crate::{
     clock::Clock,
     edge::client::{Client, ClientRequest, SendError, Timeouts},
@@ -43,263 +42,12 @@
 /// Maximum number of daemons that are pinged in an unresponsive failure domain.
 const PINGED_MAX: usize = 3;
 
-/// Maximum difference between the clocks of two VMs, including clock steps.
-const CLOCK_SKEW_MAX: Duration = Duration::from_secs(10);
-
 /// Header of a peer's response that names the incarnation that responds.
 pub const INCARNATION_HEADER: &str = "x-incarnation";
 
 /// Maximum size of a peer's response, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// Entry of a daemon in the member list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Peer {
-    /// Name of the daemon's VM.
-    pub vm: String,
-
-    /// Identifier of this run of the daemon; a restart gets a new one.
-    pub incarnation: Incarnation,
-
-    /// Address at which the daemon serves its peers.
-    pub addr: net::SocketAddr,
-
-    /// Failure domain of the daemon's VM.
-    pub domain: String,
-
-    /// Time at which the daemon was started.
-    pub started: WallMs,
-
-    /// Whether the daemon lacks nothing that daemons have put into memory before its start:
-    /// it was started together with the whole system, before any request, or its last run
-    /// has left nothing behind.
-    pub has_complete_state: bool,
-}
-
-impl Peer {
-    /// Whether the daemon may lack state that daemons have put into memory since
-    /// `needed_since`, because it was started later.
-    fn is_forgetful(&self, needed_since: WallMs) -> bool {
-        !self.has_complete_state && self.started >= needed_since
-    }
-}
-
-/// Entry of a VM, which remains in the store when the VM's daemon leaves the member list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmEntry {
-    /// Failure domain of the VM.
-    pub domain: String,
-
-    /// Time at which the first daemon of the VM was started; 0 if that was together with
-    /// the whole system.
-    pub joined: WallMs,
-
-    /// Graceful shutdown of the VM's daemon; `None` once the VM has started another one.
-    pub shutdown: Option<GracefulShutdown>,
-}
-
-/// Graceful shutdown of a daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GracefulShutdown {
-    /// Time of the shutdown.
-    pub at: WallMs,
-
-    /// Whether the next daemon of the VM has complete state: this one has put everything
-    /// into the store that other daemons may still need.
-    pub is_complete: bool,
-}
-
-/// Time, on any VM's clock, since which daemons must have kept state in memory that was of
-/// use to someone until `retention` before `at`.
-pub fn needed_since(at: WallMs, retention: Duration) -> WallMs {
-    let span = retention + CLOCK_SKEW_MAX;
-    WallMs(at.0.saturating_sub(span.as_millis() as u64))
-}
-
-/// Daemons that may lack state that others hold only in memory, since they were started
-/// recently.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ForgetfulDaemons {
-    /// Number of these daemons.
-    pub daemons: usize,
-
-    /// Number of daemons that have left recently.
-    pub left: usize,
-
-    /// Whether there is a failure domain in which all daemons are of these two kinds.
-    pub has_whole_domain: bool,
-}
-
-/// Purpose for which unused tokens are requested.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Purpose {
-    /// The sender records its allocations in the store; from now on the recipient makes
-    /// no offline grants for the program.
-    Record,
-
-    /// The store is unreachable and the sender wants to make an offline grant.
-    Grant,
-
-    /// The sender only wants the unused tokens.
-    Share,
-}
-
-/// Request to a peer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum PeerRequest {
-    /// Checks that the peer responds.
-    Hello,
-
-    /// Requests unused tokens of a program.
-    Release {
-        /// The program.
-        program: ProgramKey,
-
-        /// Number of tokens requested.
-        #[serde(rename = "want")]
-        requested: u64,
-
-        /// Incarnation that sends the request.
-        #[serde(rename = "by")]
-        sender: Incarnation,
-
-        /// Purpose of the request.
-        purpose: Purpose,
-    },
-
-    /// Withdraws the claim of an incarnation that made no offline grants for a program.
-    Unclaim {
-        /// The program.
-        program: ProgramKey,
-
-        /// Incarnation whose claim ends.
-        #[serde(rename = "by")]
-        claimant: Incarnation,
-    },
-
-    /// Requests tokens of a program on which the peer has the claim.
-    Lend(LendRequest),
-
-    /// Asks the peer to hold a replica of a turn until the turn is in the store.
-    Keep(RequestId, Turn),
-
-    /// Reports turns that are in the store, so that their replicas can be removed.
-    Stored(Vec<RequestId>),
-
-    /// Reports requests that were running on an endpoint when it crashed.
-    Crashed(Vec<Crash>),
-
-    /// Requests those of the given turns that the peer has in memory.
-    Find(Vec<RequestId>),
-
-    /// Asks the peer to make a call to the store, which the sender cannot reach.
-    Call {
-        /// Path and query of the call.
-        path: String,
-
-        /// Encoded records to append; `None` for a read.
-        body: Option<Vec<u8>>,
-    },
-}
-
-impl PeerRequest {
-    /// Name of the request in the metrics.
-    pub fn name(&self) -> &'static str {
-        match self {
-            Self::Hello => "hello",
-            Self::Release { .. } => "release",
-            Self::Unclaim { .. } => "unclaim",
-            Self::Lend(_) => "lend",
-            Self::Keep(..) => "keep",
-            Self::Stored(_) => "stored",
-            Self::Crashed(_) => "crashed",
-            Self::Find(_) => "find",
-            Self::Call { .. } => "call",
-        }
-    }
-}
-
-/// Request for tokens to the daemon that may make offline grants for a program.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct LendRequest {
-    /// The program.
-    pub program: ProgramKey,
-
-    /// Token budget of the program.
-    pub budget: u64,
-
-    /// Maximum number of tokens that the turn may use.
-    #[serde(rename = "most")]
-    pub max_tokens: u64,
-
-    /// Number of tokens requested.
-    #[serde(rename = "want")]
-    pub requested: u64,
-
-    /// Time after the last turn of the program within which the program may continue.
-    pub retention: Duration,
-}
-
-/// Response of a peer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum PeerResponse {
-    /// Acknowledges [`PeerRequest::Hello`], [`PeerRequest::Unclaim`],
-    /// [`PeerRequest::Stored`] and [`PeerRequest::Crashed`].
-    Noted,
-
-    /// Response to [`PeerRequest::Release`].
-    Released {
-        /// Number of tokens handed over.
-        tokens: u64,
-
-        /// The peer's local quota after the tokens were handed over.
-        #[serde(rename = "holds")]
-        remaining_quota: LocalQuota,
-
-        /// Tokens of the peer's offline grants that are not recorded in the store yet.
-        #[serde(rename = "unrecorded")]
-        unrecorded_grants: u64,
-
-        /// Claim on the program that the peer knows of.
-        #[serde(rename = "claimed")]
-        claim: Option<ClaimReport>,
-
-        /// Whether the peer rejects an offline grant by the sender.
-        #[serde(rename = "is_denied")]
-        denies_grant: bool,
-
-        /// Whether the peer reaches the store.
-        reaches_store: bool,
-    },
-
-    /// Response to [`PeerRequest::Lend`]: number of tokens handed over.
-    Lent(u64),
-
-    /// Response to [`PeerRequest::Keep`]: the peer holds the replica.
-    Kept,
-
-    /// Response to [`PeerRequest::Find`]: the turns found in memory.
-    Found(Vec<(RequestId, Turn)>),
-
-    /// Response to [`PeerRequest::Call`]: status and body of the store's response; `None`
-    /// if the peer cannot reach the store either.
-    Called(Option<(u16, Vec<u8>)>),
-}
-
-impl PeerResponse {
-    /// Whether the peer agrees to an offline grant by the sender of the request.
-    pub fn agrees_to_grant(&self) -> bool {
-        match self {
-            Self::Released {
-                denies_grant,
-                reaches_store,
-                ..
-            } => !denies_grant && !reaches_store,
-            _ => false,
-        }
-    }
-}
-
 /// Error returned when a request to a peer fails.
 #[derive(Debug, thiserror::Error)]
 pub enum PeerError {
--- a/kingcupspan/src/gateway/serve.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -1,10 +1,9 @@
 //! Processes requests: admission, history, budget, endpoint selection and forwarding.
 
+mod send;
+
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
@@ -12,14 +11,7 @@
 use futures_lite::FutureExt;
 use kingcupspan_core::{
     digest::Digest,
-    gateway::{
-        admission,
-        call::CallInfo,
-        crash_tracker::Fingerprint,
-        endpoint::{Endpoint, InstanceId},
-        placement,
-        routing::RouteKind,
-    },
+    gateway::{admission, call::CallInfo, routing::RouteKind},
 };
 
 use crate::{
@@ -42,7 +34,7 @@
         shutdown::Shutdown,
         store::Store,
         turn_storage,
-        upstream::{EndpointResponse, OutgoingRequest, RequestGuard, SendError, Upstream},
+        upstream::Upstream,
     },
     http::{
         conn::{self, Conn},
@@ -50,13 +42,6 @@
     },
 };
 
-/// Maximum number of endpoints to which one request is sent, including those that refuse
-/// it or cannot be reached.
-const MAX_ENDPOINTS_TRIED: usize = 3;
-
-/// Retry delay sent to the caller if every endpoint tried refused the request.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
-
 /// Retry delay sent to the caller if the history or tokens of a turn are unavailable.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -363,115 +348,6 @@
         })
     }
 
-    /// Sends a request to endpoints one after another until one answers.
-    ///
-    /// `possible_runs` counts the endpoints that may have run the request.
-    async fn send(
-        &self,
-        ex: &mut Exchange,
-        possible_runs: &mut u32,
-    ) -> Result<(EndpointResponse, RequestGuard), Failure> {
-        let body = ex.prompt();
-        let mut tried: Vec<InstanceId> = Vec::new();
-        loop {
-            let endpoint = self
-                .choose_endpoint(ex, &tried)
-                .ok_or(match *possible_runs {
-                    0 => ErrorReason::NoEndpoint,
-                    // The request may have run, so the error must not promise that it has not.
-                    _ => ErrorReason::NoOutcome,
-                })?;
-            let request_guard = self.upstream.track_request(&endpoint.id);
-            let outgoing = OutgoingRequest {
-                method: &ex.head.method,
-                target: &ex.head.target,
-                headers: &ex.head.headers,
-                id: &ex.id,
-                fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
-                body: &body,
-                deadline: ex.deadline,
-                refused_on: &ex.refused_on,
-            };
-            ex.last_endpoint = Some(endpoint.id.clone());
-            if let Some(key) = ex.info.placement_key() {
-                self.last_engines.record(key, &endpoint.id);
-            }
-            ex.progress = Progress::Sent;
-            let sent = self.upstream.send(&endpoint, &outgoing).await;
-            tried.push(endpoint.id.clone());
-            if matches!(&sent, Ok(response) if response.info.is_leaving) {
-                self.endpoints.note_leaving(&endpoint);
-            }
-            self.metrics
-                .sends
-                .with_label_values(&[send_outcome(&sent)])
-                .inc();
-            match sent {
-                Ok(response) if response.info.not_executed => {
-                    log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = response.head.status; "endpoint refused the request");
-                    ex.refused_on.push(response.connection_id());
-                    relay::discard(response).await;
-                }
-                Ok(response) if !response.is_trusted() => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0; "discarding a success response without a signature");
-                    *possible_runs += 1;
-                    if !ex.can_retry(*possible_runs) {
-                        return Err(ErrorReason::NoOutcome.into());
-                    }
-                }
-                Ok(response) => {
-                    *possible_runs += 1;
-                    return Ok((response, request_guard));
-                }
-                Err(SendError::NotSent(cause)) => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "cannot reach the endpoint; the request was not sent");
-                }
-                Err(SendError::Lost(cause)) => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "no response from the endpoint; the request may have run");
-                    *possible_runs += 1;
-                    if !ex.can_retry(*possible_runs) {
-                        return Err(ErrorReason::NoOutcome.into());
-                    }
-                }
-            }
-            if *possible_runs == 0 {
-                ex.progress = Progress::NotSent;
-            }
-            if tried.len() >= MAX_ENDPOINTS_TRIED {
-                return Err(match *possible_runs {
-                    0 => ErrorResponse {
-                        reason: ErrorReason::EndpointsFull,
-                        retry_after: Some(FULL_RETRY_AFTER),
-                    }
-                    .into(),
-                    _ => ErrorReason::NoOutcome.into(),
-                });
-            }
-        }
-    }
-
-    /// Chooses the endpoint for a request; endpoints in `tried` come last.
-    fn choose_endpoint(&self, ex: &Exchange, tried: &[InstanceId]) -> Option<Arc<Endpoint>> {
-        let ready = self.endpoints.ready(&ex.service);
-        let candidates = self.upstream.candidates(ready);
-        let engine = ex
-            .configuration
-            .services
-            .get(&ex.service)
-            .and_then(|s| s.engine);
-        let chosen = match (engine, ex.info.placement_key()) {
-            (Some(_), Some(key)) => {
-                let last = self.last_engines.get(key);
-                placement::choose_engine(&candidates, key, last.as_ref(), tried)
-            }
-            _ => {
-                let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
-                placement::choose_service_endpoint(&candidates, &self.domain, rotation, tried)
-            }
-        };
-        chosen.map(|i| Arc::clone(&candidates[i].endpoint))
-    }
-
     /// Stores the turn, then sends the final bytes of the response.
     async fn finish(
         &self,
@@ -500,17 +376,6 @@
     }
 }
 
-/// Returns the outcome of sending a request, as labelled in the metrics.
-fn send_outcome(sent: &Result<EndpointResponse, SendError>) -> &'static str {
-    match sent {
-        Ok(response) if response.info.not_executed => "refused",
-        Ok(response) if !response.is_trusted() => "unsigned",
-        Ok(_) => "answered",
-        Err(SendError::NotSent(_)) => "not sent",
-        Err(SendError::Lost(_)) => "lost",
-    }
-}
-
 /// Creates an error response to a request that may succeed when retried shortly.
 fn retry_later(reason: ErrorReason) -> ErrorResponse {
     ErrorResponse {
--- /dev/null
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -0,0 +1,95 @@
+//! Connections to one endpoint, and what is known of its load and health.
+
+use std::time::{Duration, Instant};
+
+use kingcupspan_core::gateway::{call::RequestId, crash_tracker::Fingerprint, placement::Load};
+
+use crate::http::conn::Conn;
+
+/// How long the load reported by an endpoint is used.
+const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
+
+/// Identifies a connection to an endpoint among all that this daemon has opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(pub(super) u64);
+
+/// A connection to an endpoint.
+pub(super) struct EndpointConnection {
+    pub(super) id: ConnectionId,
+    pub(super) conn: Conn,
+}
+
+/// A request that an endpoint may have run.
+#[derive(Clone)]
+pub(super) struct SentRequest {
+    pub(super) attempt: RequestId,
+    pub(super) fingerprint: Fingerprint,
+}
+
+/// An idle connection and the time until which it may be reused.
+pub(super) struct IdleConnection {
+    pub(super) connection: EndpointConnection,
+    pub(super) expires_at: Instant,
+}
+
+/// Connections to an endpoint and what is known of its load and health.
+#[derive(Default)]
+pub(super) struct EndpointState {
+    pub(super) idle: Vec<IdleConnection>,
+
+    /// Requests in flight from this daemon.
+    pub(super) in_flight: u32,
+
+    /// Load that the endpoint last reported.
+    pub(super) reported: Option<LoadReport>,
+
+    /// Whether the endpoint failed and has not accepted a connection since.
+    pub(super) is_suspect: bool,
+
+    /// Requests without a complete response since the last attempt to reconnect.
+    pub(super) unanswered: Vec<SentRequest>,
+}
+
+/// Load reported by an endpoint.
+#[derive(Clone, Copy)]
+pub(super) struct LoadReport {
+    /// Requests running and waiting at the endpoint.
+    pub(super) load: u32,
+
+    /// Time when the report was received.
+    pub(super) received_at: Instant,
+
+    /// Requests in flight from this daemon when the report was received.
+    pub(super) in_flight: u32,
+}
+
+impl EndpointState {
+    /// Keeps a connection for reuse within `timeout`.
+    pub(super) fn add_idle(&mut self, connection: EndpointConnection, timeout: Duration) {
+        self.idle.push(IdleConnection {
+            connection,
+            expires_at: Instant::now() + timeout,
+        });
+    }
+
+    /// Takes the idle connection that was used last and is not among `except`.
+    pub(super) fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
+        let is_allowed = |i: &IdleConnection| !except.contains(&i.connection.id);
+        let position = self.idle.iter().rposition(is_allowed)?;
+        Some(self.idle.remove(position))
+    }
+
+    /// Returns the load, adding requests sent since the last report.
+    pub(super) fn load(&self, now: Instant) -> Load {
+        let is_fresh = |r: &LoadReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
+        let reported = self.reported.filter(is_fresh);
+        Load {
+            in_flight: self.in_flight,
+            reported: reported.map(|r| {
+                let load = r.load.saturating_add(self.in_flight);
+                load.saturating_sub(r.in_flight)
+            }),
+            is_failing: self.is_suspect,
+        }
+    }
+}
--- a/kingcupspan/src/gateway/upstream.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -1,5 +1,8 @@
 //! Sends requests to endpoints and manages the connections to them.
 
+mod endpoint_state;
+mod response;
+
 use std::{
     collections::HashMap,
     io,
@@ -20,6 +23,8 @@
 use kingcupspan_platform::headers::{self, HeaderLookup, ResponseInfo};
 use parking_lot::Mutex;
 
+use self::endpoint_state::{EndpointConnection, EndpointState, LoadReport, SentRequest};
+pub use self::{endpoint_state::ConnectionId, response::EndpointResponse};
 use crate::{
     edge::tcp,
     http::{
@@ -38,9 +43,6 @@
 /// How long before the endpoint's advertised timeout an idle connection is dropped.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 
-/// How long the load reported by an endpoint is used.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
-
 /// Interval between attempts to reconnect to a failed endpoint.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -90,16 +92,6 @@
     pub refused_on: &'a [ConnectionId],
 }
 
-/// Identifies a connection to an endpoint among all that this daemon has opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConnectionId(u64);
-
-/// A connection to an endpoint.
-struct EndpointConnection {
-    id: ConnectionId,
-    conn: Conn,
-}
-
 impl OutgoingRequest<'_> {
     /// Returns what is remembered of the request after it has been sent.
     fn sent_request(&self) -> SentRequest {
@@ -110,50 +102,6 @@
     }
 }
 
-/// A request that an endpoint may have run.
-#[derive(Clone)]
-struct SentRequest {
-    attempt: RequestId,
-    fingerprint: Fingerprint,
-}
-
-/// An idle connection and the time until which it may be reused.
-struct IdleConnection {
-    connection: EndpointConnection,
-    expires_at: Instant,
-}
-
-/// Connections to an endpoint and what is known of its load and health.
-#[derive(Default)]
-struct EndpointState {
-    idle: Vec<IdleConnection>,
-
-    /// Requests in flight from this daemon.
-    in_flight: u32,
-
-    /// Load that the endpoint last reported.
-    reported: Option<LoadReport>,
-
-    /// Whether the endpoint failed and has not accepted a connection since.
-    is_suspect: bool,
-
-    /// Requests without a complete response since the last attempt to reconnect.
-    unanswered: Vec<SentRequest>,
-}
-
-/// Load reported by an endpoint.
-#[derive(Clone, Copy)]
-struct LoadReport {
-    /// Requests running and waiting at the endpoint.
-    load: u32,
-
-    /// Time when the report was received.
-    received_at: Instant,
-
-    /// Requests in flight from this daemon when the report was received.
-    in_flight: u32,
-}
-
 /// Connections to all endpoints and their load.
 pub struct Upstream {
     states: Mutex<HashMap<InstanceId, EndpointState>>,
@@ -179,20 +127,6 @@
     }
 }
 
-/// A response of an endpoint whose body has not been read yet.
-pub struct EndpointResponse {
-    /// The status line and headers.
-    pub head: ResponseHead,
-
-    /// Information that the endpoint passed in headers.
-    pub info: ResponseInfo,
-
-    connection: EndpointConnection,
-    upstream: Arc<Upstream>,
-    endpoint: Endpoint,
-    sent: SentRequest,
-}
-
 impl Upstream {
     /// Creates a state without connections; endpoint crashes are sent to `crashes`.
     pub fn new(crashes: async_channel::Sender<Vec<Crash>>) -> Self {
@@ -402,70 +336,6 @@
     }
 }
 
-impl EndpointState {
-    /// Keeps a connection for reuse within `timeout`.
-    fn add_idle(&mut self, connection: EndpointConnection, timeout: Duration) {
-        self.idle.push(IdleConnection {
-            connection,
-            expires_at: Instant::now() + timeout,
-        });
-    }
-
-    /// Takes the idle connection that was used last and is not among `except`.
-    fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
-        let is_allowed = |i: &IdleConnection| !except.contains(&i.connection.id);
-        let position = self.idle.iter().rposition(is_allowed)?;
-        Some(self.idle.remove(position))
-    }
-
-    /// Returns the load, adding requests sent since the last report.
-    fn load(&self, now: Instant) -> Load {
-        let is_fresh = |r: &LoadReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
-        let reported = self.reported.filter(is_fresh);
-        Load {
-            in_flight: self.in_flight,
-            reported: reported.map(|r| {
-                let load = r.load.saturating_add(self.in_flight);
-                load.saturating_sub(r.in_flight)
-            }),
-            is_failing: self.is_suspect,
-        }
-    }
-}
-
-impl EndpointResponse {
-    /// Returns whether the response comes from the endpoint; a success response must carry
-    /// the endpoint's signature.
-    pub fn is_trusted(&self) -> bool {
-        self.info.is_signed || !(200..300).contains(&self.head.status)
-    }
-
-    /// Returns the connection on which the response arrived.
-    pub fn connection_id(&self) -> ConnectionId {
-        self.connection.id
-    }
-
-    /// Returns the next bytes of the body, or `None` at its end.
-    pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
-        let conn = &mut self.connection.conn;
-        let chunk = conn.read_body_chunk(&mut self.head.framing).await;
-        if chunk.is_err() {
-            self.upstream
-                .mark_suspect(&self.endpoint, Some(self.sent.clone()));
-        }
-        chunk
-    }
-
-    /// Makes the connection available for reuse after the complete body has been read.
-    pub fn release_connection(self) {
-        let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
-        if is_reusable {
-            self.upstream
-                .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
-        }
-    }
-}
-
 /// Reads the response head for this request, skipping late responses to other requests.
 async fn read_response_head(
     conn: &mut Conn,
--- /dev/null
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -0,0 +1,59 @@
+//! Response of an endpoint while its body is read.
+
+use std::sync::Arc;
+
+use kingcupspan_core::gateway::endpoint::Endpoint;
+use kingcupspan_platform::headers::ResponseInfo;
+
+use super::{
+    Upstream,
+    endpoint_state::{ConnectionId, EndpointConnection, SentRequest},
+};
+use crate::http::{conn::ReadError, head::ResponseHead};
+
+/// A response of an endpoint whose body has not been read yet.
+pub struct EndpointResponse {
+    /// The status line and headers.
+    pub head: ResponseHead,
+
+    /// Information that the endpoint passed in headers.
+    pub info: ResponseInfo,
+
+    pub(super) connection: EndpointConnection,
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) endpoint: Endpoint,
+    pub(super) sent: SentRequest,
+}
+
+impl EndpointResponse {
+    /// Returns whether the response comes from the endpoint; a success response must carry
+    /// the endpoint's signature.
+    pub fn is_trusted(&self) -> bool {
+        self.info.is_signed || !(200..300).contains(&self.head.status)
+    }
+
+    /// Returns the connection on which the response arrived.
+    pub fn connection_id(&self) -> ConnectionId {
+        self.connection.id
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end.
+    pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
+        let conn = &mut self.connection.conn;
+        let chunk = conn.read_body_chunk(&mut self.head.framing).await;
+        if chunk.is_err() {
+            self.upstream
+                .mark_suspect(&self.endpoint, Some(self.sent.clone()));
+        }
+        chunk
+    }
+
+    /// Makes the connection available for reuse after the complete body has been read.
+    pub fn release_connection(self) {
+        let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
+        if is_reusable {
+            self.upstream
+                .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
+        }
+    }
+}
