Tests: assign each loopback address of a test process once

What was seen: three tests failed in one run of all tests of the gateway, each with a response of another test's endpoint. Cause: addresses were counted in one byte, and the tests of this process now use more than 256, so that two fleets listened on the same ones. Ruled out: load (the bodies were those of another stand-in, complete). Change: three blocks of 254 addresses for each process id; a test fails if none is left. Conclusion: traced; no check was changed.

--- a/kingcupspan/tests/common/process.rs
+++ b/kingcupspan/tests/common/process.rs
@@ -15,16 +15,24 @@
 /// Maximum duration of a graceful shutdown.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Last byte of the next loopback address to assign.
-static NEXT_ADDRESS: atomic::AtomicU8 = atomic::AtomicU8::new(1);
+/// Addresses in each of the blocks that belong to a process id.
+const BLOCK_ADDRESSES: u16 = 254;
+
+/// Number of blocks that belong to a process id.
+const BLOCKS: u16 = 3;
+
+/// Number of loopback addresses assigned so far.
+static ASSIGNED_ADDRESSES: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
 /// Returns a loopback address derived from the process id, so that tests that run at the
 /// same time do not share ports.
 pub fn unique_loopback_address() -> net::Ipv4Addr {
     let pid = std::process::id();
-    let n = NEXT_ADDRESS.fetch_add(1, atomic::Ordering::SeqCst);
-    let high = 64 + ((pid >> 8) & 0x3f) as u8;
-    net::Ipv4Addr::new(127, high, (pid & 0xff) as u8, n)
+    let number = ASSIGNED_ADDRESSES.fetch_add(1, atomic::Ordering::SeqCst);
+    let (block, n) = (number / BLOCK_ADDRESSES, number % BLOCK_ADDRESSES);
+    assert!(block < BLOCKS, "no address is left");
+    let high = 64 * (1 + block) as u8 + ((pid >> 8) & 0x3f) as u8;
+    net::Ipv4Addr::new(127, high, (pid & 0xff) as u8, 1 + n as u8)
 }
 
 /// Creates the directory for the files of one test.
