Tokens of turns that are cancelled meanwhile are not lost

Cause: a turn obtained tokens in its own task, which is dropped when its caller leaves or its deadline passes. The allocation stayed recorded, or the peers had handed tokens over, and no quota got them. Ruled out: programs that are too small for half of their budget (500 + 286 holds a turn in half); allocations of ended daemons (reported as used, here 0). Change: tokens are obtained in a task of their own; requests, errors and reservations move to ledger/account.rs. Test: tokens_for_turns_whose_callers_have_left_can_be_used failed before and passes now.

--- a/kingcupspan/src/gateway/ledger/account.rs
+++ b/kingcupspan/src/gateway/ledger/account.rs
@@ -1,4 +1,5 @@
-//! A daemon's account of the token budget of one program, and reservations from it.
+//! A daemon's account of the token budget of one program, and requests for and reservations of
+//! its tokens.
 
 use std::{
     collections::HashSet,
@@ -8,15 +9,59 @@
 
 use async_std::sync::Mutex as AsyncMutex;
 use kingcupspan_core::gateway::{
-    allocation::{AllocationId, LocalQuota},
+    allocation::{AllocationId, LocalQuota, TokenBalance},
+    call::ProgramKey,
     grant::Incarnation,
 };
 use parking_lot::Mutex;
 
+use crate::gateway::store::StoreFailure;
+
 /// Pause before all daemons are asked again to disable offline grants, after not all of
 /// them agreed.
 const AGREEMENT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Error returned when tokens cannot be reserved for a turn.
+#[derive(Debug, thiserror::Error)]
+pub enum ReserveError {
+    /// The program has used up its token budget.
+    #[error("token budget is exhausted: {} tokens used, {} reserved, other daemons may hold more: {}",
+        .0.used, .0.reserved, .0.is_uncertain
+    )]
+    Exhausted(TokenBalance),
+
+    /// The remaining tokens are reserved by other turns, or may be held by daemons that
+    /// did not respond; none were returned before the deadline.
+    #[error("remaining tokens are reserved by other turns: {} tokens used, {} reserved, \
+         other daemons may hold more: {}",
+        .0.used, .0.reserved, .0.is_uncertain
+    )]
+    AllReserved(TokenBalance),
+
+    /// The state of the budget is unknown because the store is unavailable.
+    #[error("cannot read the token budget: {0}")]
+    StoreUnavailable(#[from] StoreFailure),
+}
+
+/// Request of a turn for tokens.
+#[derive(Debug, Clone, Copy)]
+pub struct TokenRequest<'a> {
+    /// Program of the turn.
+    pub program: &'a ProgramKey,
+
+    /// Token budget of the program.
+    pub budget: u64,
+
+    /// Maximum number of tokens that the turn may use.
+    pub max_tokens: u64,
+
+    /// Time until which the turn can wait for other turns to return tokens.
+    pub deadline: Instant,
+
+    /// Time after the last turn of the program within which the program may continue.
+    pub retention: Duration,
+}
+
 /// This daemon's state of the token budget of one program.
 #[derive(Default)]
 pub(super) struct Account {
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -28,7 +28,7 @@
 };
 use parking_lot::Mutex;
 
-pub use self::account::Reservation;
+pub use self::account::{Reservation, ReserveError, TokenRequest};
 use self::{account::Account, grants::OfflineGrants, peer_poll::PeerPoll};
 use crate::{
     clock::Clock,
@@ -46,28 +46,6 @@
 /// Time without a new turn of a program after which its excess tokens are returned.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Error returned when tokens cannot be reserved for a turn.
-#[derive(Debug, thiserror::Error)]
-pub enum ReserveError {
-    /// The program has used up its token budget.
-    #[error("token budget is exhausted: {} tokens used, {} reserved, other daemons may hold more: {}",
-        .0.used, .0.reserved, .0.is_uncertain
-    )]
-    Exhausted(TokenBalance),
-
-    /// The remaining tokens are reserved by other turns, or may be held by daemons that
-    /// did not respond; none were returned before the deadline.
-    #[error("remaining tokens are reserved by other turns: {} tokens used, {} reserved, \
-         other daemons may hold more: {}",
-        .0.used, .0.reserved, .0.is_uncertain
-    )]
-    AllReserved(TokenBalance),
-
-    /// The state of the budget is unknown because the store is unavailable.
-    #[error("cannot read the token budget: {0}")]
-    StoreUnavailable(#[from] StoreFailure),
-}
-
 /// Token accounts of all programs on this daemon.
 pub struct Ledger {
     clock: Clock,
@@ -84,25 +62,6 @@
     grants: Mutex<HashMap<ProgramKey, OfflineGrants>>,
 }
 
-/// Request of a turn for tokens.
-#[derive(Debug, Clone, Copy)]
-pub struct TokenRequest<'a> {
-    /// Program of the turn.
-    pub program: &'a ProgramKey,
-
-    /// Token budget of the program.
-    pub budget: u64,
-
-    /// Maximum number of tokens that the turn may use.
-    pub max_tokens: u64,
-
-    /// Time until which the turn can wait for other turns to return tokens.
-    pub deadline: Instant,
-
-    /// Time after the last turn of the program within which the program may continue.
-    pub retention: Duration,
-}
-
 impl Ledger {
     /// Creates a ledger without accounts.
     pub fn new(
@@ -139,7 +98,7 @@
                     used: 0,
                 });
             }
-            match self.obtain(&account, request).await {
+            match self.obtain_uncancelled(&account, request).await {
                 Err(ReserveError::StoreUnavailable(_))
                     if Instant::now() + POLL_INTERVAL < request.deadline =>
                 {
@@ -213,6 +172,35 @@
         Arc::clone(self.accounts.lock().entry(program.clone()).or_default())
     }
 
+    /// Obtains tokens, also if the turn that needs them is cancelled meanwhile: the store and
+    /// the peers count them as this daemon's.
+    async fn obtain_uncancelled(
+        self: &Arc<Self>,
+        account: &Arc<Account>,
+        request: TokenRequest<'_>,
+    ) -> Result<(), ReserveError> {
+        let (ledger, account) = (Arc::clone(self), Arc::clone(account));
+        let program = request.program.clone();
+        let TokenRequest {
+            budget,
+            max_tokens,
+            deadline,
+            retention,
+            ..
+        } = request;
+        let obtaining = task::spawn(async move {
+            let request = TokenRequest {
+                program: &program,
+                budget,
+                max_tokens,
+                deadline,
+                retention,
+            };
+            ledger.obtain(&account, request).await
+        });
+        obtaining.await
+    }
+
     /// Obtains tokens from the store or from peers, for one turn of a program at a time.
     async fn obtain(
         self: &Arc<Self>,
--- a/kingcupspan/src/gateway/store.rs
+++ b/kingcupspan/src/gateway/store.rs
@@ -219,7 +219,7 @@
             }
             is_first = false;
             newest.records.extend(page.records);
-            // A page without records would be returned again and again.
+            // Without a key to continue behind, the first page would be returned again.
             last_key = page.last_key;
             if !page.has_more || last_key.is_none() {
                 return Ok(newest);
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -4,7 +4,10 @@
 
 use async_std::{future, task};
 use kingcupspan_platform_standin::{
-    caller::Request, endpoint::EndpointBehavior, settings, store::StoreBehavior,
+    caller::{self, Request},
+    endpoint::EndpointBehavior,
+    settings,
+    store::StoreBehavior,
 };
 use serde_json::json;
 
@@ -149,6 +152,28 @@
     );
 }
 
+// Guards against tokens that were allocated for a turn whose caller has left meanwhile, and that
+// nobody holds.
+#[async_std::test]
+async fn tokens_for_turns_whose_callers_have_left_can_be_used() {
+    let fleet = Fleet::start("gateway-cancelled-turn", 1, 4_000).await;
+    // An append takes 150 ms.
+    fleet.store.set_behavior(StoreBehavior::SlowAppends);
+    for i in 0..4 {
+        let turn = Request::turn("p", &format!("left{i}"), None, 200);
+        let conn = caller::start_request(fleet.caller_addr(0), &turn).await;
+        task::sleep(Duration::from_millis(60)).await;
+        drop(conn);
+        task::sleep(Duration::from_millis(400)).await;
+    }
+    // All tokens are left: the limit is the budget of 200 plus one turn of 100.
+    for i in 0..3 {
+        let turn = Request::turn("p", &format!("served{i}"), None, 200);
+        let response = fleet.send(0, &turn).await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
+
 #[async_std::test]
 async fn graceful_shutdown_returns_unused_tokens() {
     let mut fleet = Fleet::start("gateway-return", 2, 2_000).await;
