Make an allocation whose call failed once more, until the store responds

Cause: an allocation whose call got no response counted as not made. The store may have recorded it, at once or later, and its tokens were then held by nobody. Ruled out: undoing it (a late copy of the first call would allocate the tokens again); the next turn alone (it may come to another daemon). Change: a failed allocation is kept with its id and tokens and made once more, by the next turn or every 500 ms while the store responds; then its tokens can be used, here or by other daemons. Requests for tokens own their program's key. Conclusion: a reservation that is uncertain for this cause ends with the store's next response.

--- a/kingcupspan/src/gateway/ledger/account.rs
+++ b/kingcupspan/src/gateway/ledger/account.rs
@@ -44,10 +44,10 @@
 }
 
 /// Request of a turn for tokens.
-#[derive(Debug, Clone, Copy)]
-pub struct TokenRequest<'a> {
+#[derive(Debug, Clone)]
+pub struct TokenRequest {
     /// Program of the turn.
-    pub program: &'a ProgramKey,
+    pub program: ProgramKey,
 
     /// Token budget of the program.
     pub budget: u64,
@@ -73,6 +73,10 @@
     /// Valid allocations of this daemon, with the number of tokens of each.
     pub(super) allocations: Mutex<Vec<(AllocationId, u64)>>,
 
+    /// Allocation whose call failed, with its tokens: the store may have recorded it, now or
+    /// later, so that it is made once more under the same id.
+    pub(super) unconfirmed: Mutex<Option<(AllocationId, u64)>>,
+
     /// Tokens that allocations must leave unallocated to cover past offline grants; `None`
     /// until all daemons have disabled offline grants.
     pub(super) grant_reserve: Mutex<Option<u64>>,
--- a/kingcupspan/src/gateway/ledger/grants.rs
+++ b/kingcupspan/src/gateway/ledger/grants.rs
@@ -55,7 +55,7 @@
     pub(super) async fn obtain_without_store(
         self: &Arc<Self>,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         missing: u64,
         failure: StoreFailure,
     ) -> Result<(), ReserveError> {
@@ -76,10 +76,10 @@
     async fn try_grant(
         self: &Arc<Self>,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         missing: u64,
     ) -> GrantOutcome {
-        let program = request.program;
+        let program = &request.program;
         if let Some(outcome) = self.try_claim(program) {
             return outcome;
         }
@@ -119,12 +119,7 @@
 
     /// Requests tokens from the daemon that has the claim on a program; returns how many
     /// it handed over.
-    async fn borrow_from(
-        &self,
-        holder: &Incarnation,
-        request: TokenRequest<'_>,
-        missing: u64,
-    ) -> u64 {
+    async fn borrow_from(&self, holder: &Incarnation, request: &TokenRequest, missing: u64) -> u64 {
         let Some(peer) = self.peers.by_incarnation(holder) else {
             return 0;
         };
@@ -145,39 +140,39 @@
     /// are unused.
     pub async fn lend(self: &Arc<Self>, lend: &LendRequest) -> u64 {
         let request = TokenRequest {
-            program: &lend.program,
+            program: lend.program.clone(),
             budget: lend.budget,
             max_tokens: lend.max_tokens,
             deadline: Instant::now(),
             retention: lend.retention,
         };
-        let account = self.account(request.program);
+        let account = self.account(&request.program);
         let _obtain_guard = account.obtain_lock.lock().await;
         let missing = lend
             .requested
             .saturating_sub(account.quota.lock().available());
         if missing > 0 {
             // The unused tokens are handed over whether or not the grant succeeds.
-            let _ = self.try_grant(&account, request, missing).await;
+            let _ = self.try_grant(&account, &request, missing).await;
         }
         account.quota.lock().release(lend.requested)
     }
 
     /// Collects the conditions that decide whether this daemon may make an offline grant.
-    fn grant_conditions(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> GrantConditions {
+    fn grant_conditions(&self, request: &TokenRequest, poll: &PeerPoll) -> GrantConditions {
         GrantConditions {
             tally: self.tally(request, poll),
             is_denied: poll.is_denied,
             is_cut_off: self.connectivity.is_cut_off(),
             has_member_list: self.peers.has_loaded_members(),
-            has_read_records: self.partitions.has_read_allocations(request.program),
-            grants_disabled: self.partitions.grants_disabled(request.program),
+            has_read_records: self.partitions.has_read_allocations(&request.program),
+            grants_disabled: self.partitions.grants_disabled(&request.program),
         }
     }
 
     /// Counts the votes of all daemons on an offline grant of this daemon, which has the
     /// claim on the program.
-    fn tally(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> GrantTally {
+    fn tally(&self, request: &TokenRequest, poll: &PeerPoll) -> GrantTally {
         let needed_since = self.claims_needed_since(request);
         let local = self.peers.local_entry();
         let own = Ballot {
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -43,6 +43,9 @@
 /// Pause before peers are polled again for tokens that turns in flight may return.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Pause before an allocation whose call failed is made once more.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time without a new turn of a program after which its excess tokens are returned.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -86,9 +89,9 @@
     /// Reserves tokens of a program's budget for a turn.
     pub async fn reserve(
         self: &Arc<Self>,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
     ) -> Result<Reservation, ReserveError> {
-        let account = self.account(request.program);
+        let account = self.account(&request.program);
         *account.last_request.lock() = Some((Instant::now(), request.max_tokens));
         loop {
             if account.quota.lock().reserve(request.max_tokens) {
@@ -177,35 +180,18 @@
     async fn obtain_uncancelled(
         self: &Arc<Self>,
         account: &Arc<Account>,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
     ) -> Result<(), ReserveError> {
         let (ledger, account) = (Arc::clone(self), Arc::clone(account));
-        let program = request.program.clone();
-        let TokenRequest {
-            budget,
-            max_tokens,
-            deadline,
-            retention,
-            ..
-        } = request;
-        let obtaining = task::spawn(async move {
-            let request = TokenRequest {
-                program: &program,
-                budget,
-                max_tokens,
-                deadline,
-                retention,
-            };
-            ledger.obtain(&account, request).await
-        });
-        obtaining.await
+        let request = request.clone();
+        task::spawn(async move { ledger.obtain(&account, &request).await }).await
     }
 
     /// Obtains tokens from the store or from peers, for one turn of a program at a time.
     async fn obtain(
         self: &Arc<Self>,
-        account: &Account,
-        request: TokenRequest<'_>,
+        account: &Arc<Account>,
+        request: &TokenRequest,
     ) -> Result<(), ReserveError> {
         let _obtain_guard = account.obtain_lock.lock().await;
         let missing = request
@@ -214,8 +200,9 @@
         if missing == 0 {
             return Ok(());
         }
-        let total = self.partitions.total_allocated(request.program);
-        if total + missing > allocation_limit(account, request) {
+        let total = self.partitions.total_allocated(&request.program);
+        let has_unconfirmed = account.unconfirmed.lock().is_some();
+        if !has_unconfirmed && total + missing > allocation_limit(account, request) {
             return self.gather_from_peers(account, request, missing).await;
         }
         let limit = allocation::limit(request.budget, request.max_tokens);
@@ -235,26 +222,72 @@
         }
     }
 
-    /// Allocates tokens from the store; adds none to the quota if the allocation turns
-    /// out to exceed the limit.
+    /// Allocates tokens from the store; if the call fails, it is made once more until the
+    /// store responds.
     async fn allocate(
+        self: &Arc<Self>,
+        account: &Arc<Account>,
+        request: &TokenRequest,
+        tokens: u64,
+    ) -> Result<(), StoreFailure> {
+        let is_being_confirmed = account.unconfirmed.lock().is_some();
+        let allocated = self.try_allocate(account, request, tokens).await;
+        if allocated.is_err() && !is_being_confirmed {
+            task::spawn(Arc::clone(self).confirm(Arc::clone(account), request.clone()));
+        }
+        allocated
+    }
+
+    /// Allocates tokens from the store, or makes the unconfirmed allocation once more.
+    async fn try_allocate(
+        &self,
+        account: &Account,
+        request: &TokenRequest,
+        tokens: u64,
+    ) -> Result<(), StoreFailure> {
+        let unconfirmed = account.unconfirmed.lock().clone();
+        let (id, tokens) = unconfirmed.unwrap_or_else(|| (self.next_allocation_id(), tokens));
+        let recorded = self.record_allocation(account, request, &id, tokens).await;
+        *account.unconfirmed.lock() = recorded.is_err().then_some((id, tokens));
+        recorded
+    }
+
+    /// Makes the unconfirmed allocation of an account once more until the store responds;
+    /// its tokens can then be used, here or by other daemons.
+    async fn confirm(self: Arc<Self>, account: Arc<Account>, request: TokenRequest) {
+        while account.unconfirmed.lock().is_some() {
+            task::sleep(CONFIRM_INTERVAL).await;
+            if self.partitions.store_unreachable_for().is_some() {
+                continue;
+            }
+            let _obtain_guard = account.obtain_lock.lock().await;
+            if account.unconfirmed.lock().is_some() {
+                // After a failure the allocation is still unconfirmed.
+                let _ = self.try_allocate(&account, &request, 0).await;
+            }
+        }
+    }
+
+    /// Records an allocation in the store and adds its tokens to the quota, or undoes it if
+    /// it exceeds the limit.
+    async fn record_allocation(
         &self,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
+        id: &AllocationId,
         tokens: u64,
     ) -> Result<(), StoreFailure> {
-        let id = self.next_allocation_id();
         self.partitions
-            .allocate(request.program, &id, tokens)
+            .allocate(&request.program, id, tokens)
             .await?;
-        if self.partitions.total_allocated(request.program) <= allocation_limit(account, request) {
+        if self.partitions.total_allocated(&request.program) <= allocation_limit(account, request) {
             account.quota.lock().add(tokens);
-            account.allocations.lock().push((id, tokens));
+            account.allocations.lock().push((id.clone(), tokens));
             return Ok(());
         }
         // Other daemons allocated the tokens first: undo the allocation; the caller
         // starts over.
-        self.partitions.allocate(request.program, &id, 0).await
+        self.partitions.allocate(&request.program, id, 0).await
     }
 
     /// Requests unused tokens from the daemons that may hold some, and from all daemons
@@ -262,10 +295,10 @@
     async fn gather_from_peers(
         self: &Arc<Self>,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         missing: u64,
     ) -> Result<(), ReserveError> {
-        let holders = self.quota_holders(account, request.program);
+        let holders = self.quota_holders(account, &request.program);
         let holders_poll = self
             .poll_peers(account, request, missing, Purpose::Share, holders)
             .await;
@@ -277,10 +310,10 @@
         let poll = match account.should_request_agreement() {
             false => holders_poll,
             true => {
-                if !self.partitions.grants_disabled(request.program)
+                if !self.partitions.grants_disabled(&request.program)
                     && let Err(e) = self
                         .partitions
-                        .disable_offline_grants(request.program)
+                        .disable_offline_grants(&request.program)
                         .await
                 {
                     return self
@@ -293,7 +326,7 @@
         let still_missing = request
             .max_tokens
             .saturating_sub(account.quota.lock().available());
-        let total = self.partitions.total_allocated(request.program);
+        let total = self.partitions.total_allocated(&request.program);
         if still_missing == 0 || total + still_missing <= allocation_limit(account, request) {
             return Ok(());
         }
@@ -304,7 +337,7 @@
     async fn request_agreement(
         &self,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         missing: u64,
     ) -> PeerPoll {
         let all = self.peers.others();
@@ -325,12 +358,12 @@
     async fn refuse_or_wait(
         &self,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         poll: &PeerPoll,
     ) -> Result<(), ReserveError> {
         let quota = *account.quota.lock();
         let balance = TokenBalance {
-            used: quota.used + poll.quota.used + self.allocated_by_ended_daemons(request.program),
+            used: quota.used + poll.quota.used + self.allocated_by_ended_daemons(&request.program),
             reserved: quota.reserved + poll.quota.reserved,
             is_uncertain: poll.responded < poll.asked || account.grant_reserve.lock().is_none(),
         };
@@ -357,11 +390,11 @@
     /// Disables offline grants for a program on this daemon; returns the tokens that
     /// allocations must leave for past offline grants, or `None` if not all daemons agreed or
     /// a claim may have been lost.
-    fn disable_own_grants(&self, request: TokenRequest<'_>, poll: &PeerPoll) -> Option<u64> {
+    fn disable_own_grants(&self, request: &TokenRequest, poll: &PeerPoll) -> Option<u64> {
         let forgetful = self.peers.forgetful(self.claims_needed_since(request));
         let local_claim = {
             let mut claims = self.claims();
-            let claim = claims.claim_mut(request.program, self.clock.mono());
+            let claim = claims.claim_mut(&request.program, self.clock.mono());
             claim.grants_disabled = true;
             claim.holder.clone()
         };
@@ -380,7 +413,7 @@
             recently_started: forgetful.daemons,
             recently_left: forgetful.left,
             has_recently_started_domain: forgetful.has_whole_domain,
-            unrecorded: poll.unrecorded_grants + self.offline_grants(request.program).unrecorded,
+            unrecorded: poll.unrecorded_grants + self.offline_grants(&request.program).unrecorded,
             ended: claimants.filter(has_ended).collect(),
         };
         agreement.required_reserve(allocation::limit(request.budget, request.max_tokens))
@@ -388,8 +421,8 @@
 
     /// Time since which daemons must have remembered claims on a program: as long as the
     /// program goes on, it may have had turns.
-    fn claims_needed_since(&self, request: TokenRequest<'_>) -> WallMs {
-        let active_since = self.partitions.active_since(request.program);
+    fn claims_needed_since(&self, request: &TokenRequest) -> WallMs {
+        let active_since = self.partitions.active_since(&request.program);
         peers::needed_since(active_since.min(self.clock.wall()), request.retention)
     }
 
@@ -469,7 +502,7 @@
 
 /// Maximum number of tokens that all daemons together may have allocated of a program, as
 /// far as this daemon's account knows.
-fn allocation_limit(account: &Account, request: TokenRequest<'_>) -> u64 {
+fn allocation_limit(account: &Account, request: &TokenRequest) -> u64 {
     let limit = allocation::limit(request.budget, request.max_tokens);
     match *account.grant_reserve.lock() {
         Some(reserve) => limit.saturating_sub(reserve),
--- a/kingcupspan/src/gateway/ledger/peer_poll.rs
+++ b/kingcupspan/src/gateway/ledger/peer_poll.rs
@@ -74,7 +74,7 @@
     pub(super) async fn poll_peers(
         &self,
         account: &Account,
-        request: TokenRequest<'_>,
+        request: &TokenRequest,
         missing: u64,
         purpose: Purpose,
         peers: Vec<Peer>,
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -323,13 +323,13 @@
             .usage
             .map_or(DEFAULT_OUTPUT_TOKENS, |u| u.max_output);
         let token_request = TokenRequest {
-            program: &program.program,
+            program: program.program.clone(),
             budget,
             max_tokens,
             deadline: ex.preparation_deadline(),
             retention: ex.route.retention.unwrap_or_default(),
         };
-        let e = match self.ledger.reserve(token_request).await {
+        let e = match self.ledger.reserve(&token_request).await {
             Ok(reservation) => {
                 ex.reservation = Some(reservation);
                 return Ok(());
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -174,6 +174,23 @@
     }
 }
 
+// Guards against tokens that were allocated by a call whose response was lost, and that nobody
+// holds.
+#[async_std::test]
+async fn tokens_of_calls_without_a_response_can_be_used() {
+    let fleet = Fleet::start("gateway-lost-response", 1, 4_000).await;
+    set_events_per_turn(&fleet, 1);
+    // The first turn gets an offline grant of half of the limit once its call has timed out.
+    fleet.store.set_behavior(StoreBehavior::DropsResponses);
+    let first = fleet.send(0, &Request::turn("p", "lost", None, 200)).await;
+    fleet.store.set_behavior(StoreBehavior::Available);
+    task::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(first.status, 200, "{first:?}");
+    // Turns reserve 100 tokens and use 10, so that all but the last 90 of 300 are used.
+    let tokens = 10 + spend_until_refused(&fleet, "p", "later", 200).await;
+    assert!(tokens >= 200, "received {tokens} tokens of a budget of 200");
+}
+
 #[async_std::test]
 async fn graceful_shutdown_returns_unused_tokens() {
     let mut fleet = Fleet::start("gateway-return", 2, 2_000).await;
