Read partitions to their end, whatever their size

What callers saw: nothing yet; a daemon that has not read a partition for more than 1 MiB of records took the part that it got for all, and could allocate more than is left or refuse what fits.

Cause: a read of the store returns 1,024 KiB at most; PartitionCursor::advance made one.

Change: it reads on until the end that the store reported.

--- a/kingcupspan/src/gateway/partition_cursor.rs
+++ b/kingcupspan/src/gateway/partition_cursor.rs
@@ -58,13 +58,38 @@
         wait: Duration,
     ) -> Result<Changes, StoreFailure> {
         if let Some(offset) = self.next_offset
-            && let Read::Batch(batch) = store.read(partition, offset, wait).await?
+            && let Some(records) = self.read_appended(store, partition, offset, wait).await?
         {
-            self.next_offset = Some(offset + batch.len);
-            return Ok(Changes::Appended(batch.records));
+            return Ok(Changes::Appended(records));
         }
         let newest = store.newest(partition).await?;
         self.next_offset = Some(newest.end);
         Ok(Changes::Snapshot(newest.records))
     }
+
+    /// Reads the records from `offset` to the end of the partition, in as many calls as their
+    /// size needs; `None` if some of them were deleted.
+    async fn read_appended(
+        &mut self,
+        store: &Store,
+        partition: Partition<'_>,
+        offset: u64,
+        mut wait: Duration,
+    ) -> Result<Option<Vec<Record>>, StoreFailure> {
+        let mut next_offset = offset;
+        let mut records = Vec::new();
+        loop {
+            let Read::Batch(batch) = store.read(partition, next_offset, wait).await? else {
+                return Ok(None);
+            };
+            next_offset += batch.len;
+            records.extend(batch.records);
+            if batch.len == 0 || next_offset >= batch.end {
+                break;
+            }
+            wait = Duration::ZERO;
+        }
+        self.next_offset = Some(next_offset);
+        Ok(Some(records))
+    }
 }
