--- a/kingcupspan/src/gateway/backlog.rs
+++ b/kingcupspan/src/gateway/backlog.rs
@@ -11,11 +11,11 @@
     task,
 };
 use futures_lite::FutureExt;
-use kingcupspan_core::gateway::{call::RequestId, history::Turn, turn_queue::TurnQueue};
+use kingcupspan_core::gateway::turn_queue::TurnQueue;
 use parking_lot::Mutex;
 
 use crate::gateway::{
-    partitions::{PartitionId, Partitions},
+    partitions::{PartitionId, Partitions, TurnToStore},
     store::StoreFailure,
 };
 
@@ -27,8 +27,7 @@
 
 /// A turn that is not stored yet.
 struct PendingTurn {
-    id: RequestId,
-    turn: Arc<Turn>,
+    turn: TurnToStore,
     done: async_channel::Sender<()>,
 }
 
@@ -61,17 +60,13 @@
 
     /// Queues a turn to be written to the store; the receiver is notified once the turn is
     /// stored. Dropping the receiver removes a turn that is not being written yet.
-    pub fn enqueue(
-        self: &Arc<Self>,
-        id: RequestId,
-        turn: Arc<Turn>,
-    ) -> async_channel::Receiver<()> {
+    pub fn enqueue(self: &Arc<Self>, turn: TurnToStore) -> async_channel::Receiver<()> {
         let (done, stored) = async_channel::bounded(1);
-        let partition = self.partitions.partition_of_turn(&id);
+        let partition = self.partitions.partition_of_turn(&turn.id);
         let mut queues = self.queues.lock();
         let has_task = queues.contains_key(&partition);
         let queue = queues.entry(partition).or_default();
-        queue.push(PendingTurn { id, turn, done });
+        queue.push(PendingTurn { turn, done });
         if !has_task {
             task::spawn(Arc::clone(self).drain(partition));
         }
@@ -89,7 +84,7 @@
             let Some(batch) = self.next_batch(partition) else {
                 return;
             };
-            let first = batch[0].id.clone();
+            let first = batch[0].turn.id.clone();
             let error = self.write(partition, batch).await.err();
             if let Some(e) = error.as_ref().filter(|_| !has_failed) {
                 log::info!(request = &*first.0, error = e.to_string().as_str(); "failed to write turns to the store; the ends of their answers wait for another attempt");
@@ -125,10 +120,7 @@
         partition: PartitionId,
         batch: Vec<PendingTurn>,
     ) -> Result<(), StoreFailure> {
-        let turns: Vec<_> = batch
-            .iter()
-            .map(|p| (p.id.clone(), Arc::clone(&p.turn)))
-            .collect();
+        let turns: Vec<_> = batch.iter().map(|p| p.turn.clone()).collect();
         let written = self.partitions.store_turns(partition, &turns).await;
         let mut queues = self.queues.lock();
         let queue = queues.entry(partition).or_default();
@@ -137,7 +129,8 @@
             return written;
         }
         for pending in queue.acknowledged(batch) {
-            self.partitions.cache_turn(pending.id, pending.turn);
+            let TurnToStore { id, turn, .. } = pending.turn;
+            self.partitions.cache_turn(id, turn);
             // The caller may have left meanwhile.
             let _ = pending.done.try_send(());
         }
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -133,6 +133,14 @@
         history::build_prompt(&self.history, &self.body)
     }
 
+    /// Returns whether the answer cannot end without the store, which keeps the turn or the
+    /// number of tokens that it used.
+    pub fn needs_store(&self) -> bool {
+        let program = self.info.program.as_ref();
+        let has_budget = program.is_some_and(|p| p.budget.is_some());
+        self.should_store_turn() || (self.route.has_turns() && has_budget)
+    }
+
     /// Returns whether the request and its response should be stored as a turn.
     pub fn should_store_turn(&self) -> bool {
         self.route.has_turns() && self.route.keeps_history && self.info.program.is_some()
--- a/kingcupspan/src/gateway/group_commit.rs
+++ b/kingcupspan/src/gateway/group_commit.rs
@@ -1,10 +1,14 @@
-//! Batches appends of single records by partition.
+//! Batches appends of few records by partition.
 //!
-//! The store handles one append at a time in each partition. Records that arrive
+//! The store handles one append at a time in each partition. Appends that arrive
 //! while a call is in flight share the next call, so a daemon never has more than one
 //! call queued in a partition, however many turns append records.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::task;
 use kingcupspan_platform::store::{self, Partition, Record};
@@ -15,7 +19,7 @@
     store::{Store, StoreFailure},
 };
 
-/// Maximum number of records in one call.
+/// Maximum number of appends in one call.
 const BATCH_MAX: usize = 256;
 
 /// Time without a response after which a call is made through a peer as well. All daemons share
@@ -23,12 +27,47 @@
 /// this time.
 const NEXT_PATH_DELAY: Duration = Duration::from_millis(300);
 
-/// A record that is not stored yet.
-struct PendingRecord {
-    record: Record,
+/// Longest time for which records that nobody waits for are held back for a call with others;
+/// the platform counts a turn that has ended so recently like one in flight.
+const LAZY_DELAY: Duration = Duration::from_millis(800);
+
+/// Whether an append starts a call at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// The records are appended by the next call.
+    Now,
+
+    /// The records wait up to [`LAZY_DELAY`] for a call with others.
+    Lazy,
+}
+
+/// Records that are not stored yet and have to be stored by one call.
+struct PendingAppend {
+    records: Vec<Record>,
+
+    /// Time at which the records are appended by a call of their own.
+    due: Instant,
+
     done: async_channel::Sender<Result<u64, StoreFailure>>,
 }
 
+/// Appends to one partition that wait for a call.
+#[derive(Default)]
+struct Queue {
+    pending: Vec<PendingAppend>,
+
+    /// Whether a task appends the records.
+    has_task: bool,
+}
+
+impl Queue {
+    /// Whether a call has to be made now.
+    fn is_due(&self) -> bool {
+        let now = Instant::now();
+        self.pending.iter().any(|p| p.due <= now)
+    }
+}
+
 /// Queues of records to append to the store.
 pub struct GroupCommit {
     store: Arc<Store>,
@@ -37,9 +76,8 @@
     /// Maximum size of the records in one call, in bytes.
     call_bytes: usize,
 
-    /// Queued records by partition; a task appends the records of each partition that
-    /// has an entry.
-    queues: Mutex<HashMap<PartitionId, Vec<PendingRecord>>>,
+    /// Queued records by partition.
+    queues: Mutex<HashMap<PartitionId, Queue>>,
 }
 
 impl GroupCommit {
@@ -53,60 +91,104 @@
         }
     }
 
-    /// Appends a record together with others of its partition and returns its offset.
+    /// Appends all of the records or none, together with others of their partition, and returns
+    /// the offset of the first one.
     pub async fn append(
         self: &Arc<Self>,
         id: PartitionId,
-        record: Record,
+        records: Vec<Record>,
+        urgency: Urgency,
     ) -> Result<u64, StoreFailure> {
         let (done, appended) = async_channel::bounded(1);
-        self.enqueue(id, PendingRecord { record, done });
-        // The task of a partition reports a result for every record before it ends.
+        let delay = match urgency {
+            Urgency::Now => Duration::ZERO,
+            Urgency::Lazy => LAZY_DELAY,
+        };
+        let due = Instant::now() + delay;
+        let pending = PendingAppend { records, due, done };
+        self.enqueue(id, pending);
+        match urgency {
+            Urgency::Now => self.start_if_due(id),
+            Urgency::Lazy => {
+                let group_commit = Arc::clone(self);
+                task::spawn(async move {
+                    task::sleep(LAZY_DELAY).await;
+                    group_commit.start_if_due(id);
+                });
+            }
+        }
+        // The task of a partition reports a result for every record.
         appended
             .recv()
             .await
             .unwrap_or(Err(StoreFailure::Unreachable))
     }
 
-    /// Queues a record and starts the partition's task if none is running.
-    fn enqueue(self: &Arc<Self>, id: PartitionId, pending: PendingRecord) {
+    /// Queues records.
+    fn enqueue(&self, id: PartitionId, pending: PendingAppend) {
         let mut queues = self.queues.lock();
-        if let Some(queue) = queues.get_mut(&id) {
-            queue.push(pending);
+        queues.entry(id).or_default().pending.push(pending);
+    }
+
+    /// Appends the records of a partition now that wait for a call with others.
+    pub fn flush(self: &Arc<Self>, id: PartitionId) {
+        if let Some(queue) = self.queues.lock().get_mut(&id) {
+            let now = Instant::now();
+            queue.pending.iter_mut().for_each(|p| p.due = now);
+        }
+        self.start_if_due(id);
+    }
+
+    /// Starts the task of a partition if a call has to be made now and none is running.
+    fn start_if_due(self: &Arc<Self>, id: PartitionId) {
+        let mut queues = self.queues.lock();
+        let Some(queue) = queues.get_mut(&id) else {
             return;
+        };
+        if !queue.has_task && queue.is_due() {
+            queue.has_task = true;
+            task::spawn(Arc::clone(self).drain(id));
         }
-        queues.insert(id, vec![pending]);
-        task::spawn(Arc::clone(self).drain(id));
     }
 
-    /// Appends the records of a partition until its queue is empty.
+    /// Appends the records of a partition until none is due.
     async fn drain(self: Arc<Self>, id: PartitionId) {
         while let Some(batch) = self.next_batch(id) {
-            let (records, waiters): (Vec<_>, Vec<_>) =
-                batch.into_iter().map(|p| (p.record, p.done)).unzip();
+            let mut records = Vec::new();
+            let mut waiters = Vec::new();
+            for pending in batch {
+                waiters.push((records.len() as u64, pending.done));
+                records.extend(pending.records);
+            }
             let partition = Partition::new(&self.topics[id.topic_index], id.number);
             let append = self
                 .store
                 .append_on_any_path(partition, &records, NEXT_PATH_DELAY);
             let appended = append.await;
-            for (i, done) in waiters.into_iter().enumerate() {
-                let result = appended.as_ref().map(|a| a.offset + i as u64);
+            for (position, done) in waiters {
+                let result = appended.as_ref().map(|a| a.offset + position);
                 // The waiting task may have been cancelled.
                 let _ = done.try_send(result.map_err(Clone::clone));
             }
         }
     }
 
-    /// Takes the records of the next call; removes the queue if it is empty.
-    fn next_batch(&self, id: PartitionId) -> Option<Vec<PendingRecord>> {
+    /// Takes the records of the next call; ends the partition's task if none is due.
+    fn next_batch(&self, id: PartitionId) -> Option<Vec<PendingAppend>> {
         let mut queues = self.queues.lock();
         let queue = queues.get_mut(&id)?;
-        if queue.is_empty() {
-            queues.remove(&id);
+        if !queue.is_due() {
+            queue.has_task = false;
             return None;
         }
-        let queued = queue.iter().take(BATCH_MAX).map(|p| &p.record);
-        let len = store::records_per_call(queued, self.call_bytes);
-        Some(queue.drain(..len).collect())
+        let queued = queue.pending.iter().take(BATCH_MAX);
+        let max_records = store::records_per_call(queued.flat_map(|p| &p.records), self.call_bytes);
+        let mut records = 0;
+        let fits = |pending: &&PendingAppend| {
+            records += pending.records.len();
+            records <= max_records
+        };
+        let len = queue.pending.iter().take_while(fits).count().max(1);
+        Some(queue.pending.drain(..len).collect())
     }
 }
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -1,89 +1,127 @@
 //! Token budgets of the programs whose turns run through this daemon.
 //!
-//! A daemon allocates tokens of a program's budget to itself by a record in the store and
-//! holds them as its local quota, out of which turns reserve tokens. Daemons hand unused
-//! tokens to each other.
+//! The tokens that a turn may use are allocated by a record in the store before it runs, and a
+//! second record settles the allocation. No tokens are handed out that the store does not know
+//! of, and none are held for later turns, so that a daemon that is killed leaves only its turns
+//! in flight unknown. The settlement is part of the call that stores a turn which is kept; that
+//! of another turn shares a call with later records, and its answer ends before, unless the
+//! store is away.
 
-mod account;
-mod agreement;
-mod grants;
-mod peer_poll;
+mod holders;
+mod reservation;
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use async_std::task;
+use futures_lite::FutureExt;
 use kingcupspan_core::{
     gateway::{
-        allocation::{self, AllocationId, LocalQuota},
+        allocation::{self, AllocationId, BudgetState, Settlement, TokenBalance},
         call::ProgramKey,
-        grant::{ClaimReport, GrantClaims, Incarnation},
     },
-    id::WallMs,
+    id::{MonoMs, WallMs},
 };
 use parking_lot::Mutex;
+use rand::Rng;
 
-pub use self::account::{Reservation, ReserveError, TokenRequest};
-use self::{account::Account, grants::OfflineGrants};
+pub use self::reservation::Reservation;
 use crate::{
     clock::Clock,
-    gateway::{
-        connectivity::Connectivity,
-        partitions::Partitions,
-        peers::{PeerResponse, Peers, Purpose},
-        store::StoreFailure,
-    },
+    gateway::{group_commit::Urgency, partitions::Partitions, peers::Peers, store::StoreFailure},
 };
 
-/// Pause before peers are polled again for tokens that turns in flight may return.
+/// Pause before tokens are looked for again that turns in flight may set free.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause before an allocation whose call failed is made once more.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest pause before a record whose call failed is appended once more.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest time for which other daemons wait for the settlements of a program.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Pause between checks whether allocations are settled.
+const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(4);
+
+/// Longest time for which a shutdown waits for allocations to be settled.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Error returned when tokens cannot be reserved for a turn.
+#[derive(Debug, thiserror::Error)]
+pub enum ReserveError {
+    /// The program has used up its token budget.
+    #[error("token budget is exhausted: {} tokens used, {} reserved, other daemons may hold more: {}",
+        .0.used, .0.reserved, .0.is_uncertain
+    )]
+    Exhausted(TokenBalance),
+
+    /// The remaining tokens are reserved by turns in flight, and none became free before the
+    /// deadline.
+    #[error("remaining tokens are reserved by other turns: {} tokens used, {} reserved, \
+         other daemons may hold more: {}",
+        .0.used, .0.reserved, .0.is_uncertain
+    )]
+    AllReserved(TokenBalance),
+
+    /// The state of the budget is unknown because the store is unavailable.
+    #[error("cannot read or allocate the token budget: {0}")]
+    StoreUnavailable(#[from] StoreFailure),
+}
 
-/// Time without a new turn of a program after which its excess tokens are returned.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Request of a turn for tokens.
+#[derive(Debug, Clone)]
+pub struct TokenRequest {
+    /// Program of the turn.
+    pub program: ProgramKey,
 
-/// Token accounts of all programs on this daemon.
+    /// Token budget of the program.
+    pub budget: u64,
+
+    /// Maximum number of tokens that the turn may use.
+    pub max_tokens: u64,
+
+    /// Time until which the turn can wait for its tokens.
+    pub deadline: Instant,
+}
+
+/// State of an allocation that is not settled in the store yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OpenAllocation {
+    /// The tokens are reserved for a turn in flight.
+    Reserved(u64),
+
+    /// The turn has ended; the record of its use is on the way.
+    Ended,
+}
+
+/// Allocations of one program that this daemon has not settled yet.
+type OpenAllocations = HashMap<AllocationId, OpenAllocation>;
+
+/// Token reservations of the turns that run through this daemon.
 pub struct Ledger {
     clock: Clock,
     partitions: Arc<Partitions>,
     peers: Arc<Peers>,
-    connectivity: Connectivity,
     last_allocation: Mutex<WallMs>,
-    accounts: Mutex<HashMap<ProgramKey, Arc<Account>>>,
-    claims: Mutex<GrantClaims>,
-
-    /// Whether the claims were handed over, so that this daemon must agree to no more grants.
-    has_handed_over: AtomicBool,
+    open: Mutex<HashMap<ProgramKey, OpenAllocations>>,
 
-    grants: Mutex<HashMap<ProgramKey, OfflineGrants>>,
+    /// Balances of programs that have spent their budgets, and when that was found.
+    spent: Mutex<HashMap<ProgramKey, (TokenBalance, MonoMs)>>,
 }
 
 impl Ledger {
-    /// Creates a ledger without accounts.
-    pub fn new(
-        partitions: Arc<Partitions>,
-        peers: Arc<Peers>,
-        connectivity: Connectivity,
-        clock: Clock,
-    ) -> Self {
+    /// Creates a ledger without reservations.
+    pub fn new(partitions: Arc<Partitions>, peers: Arc<Peers>, clock: Clock) -> Self {
         Self {
             clock,
             partitions,
             peers,
-            connectivity,
             last_allocation: Mutex::default(),
-            accounts: Mutex::default(),
-            claims: Mutex::default(),
-            has_handed_over: AtomicBool::default(),
-            grants: Mutex::default(),
+            open: Mutex::default(),
+            spent: Mutex::default(),
         }
     }
 
@@ -92,254 +130,179 @@
         self: &Arc<Self>,
         request: &TokenRequest,
     ) -> Result<Reservation, ReserveError> {
-        let account = self.account(&request.program);
-        *account.last_request.lock() = Some((Instant::now(), request.max_tokens));
+        if let Some(balance) = self.spent_balance(request) {
+            return Err(ReserveError::Exhausted(balance));
+        }
+        let mut reservation = Reservation::new(Arc::clone(self), request);
         loop {
-            if account.quota.lock().reserve(request.max_tokens) {
-                return Ok(Reservation {
-                    account,
-                    max_tokens: request.max_tokens,
-                    used: 0,
-                });
-            }
-            match self.obtain_uncancelled(&account, request).await {
-                Err(ReserveError::StoreUnavailable(_))
-                    if Instant::now() + POLL_INTERVAL < request.deadline =>
-                {
-                    task::sleep(POLL_INTERVAL).await;
+            match self.try_reserve(&mut reservation, request).await {
+                Ok(true) => return Ok(reservation),
+                // Dropping the last reservation settles it without any use.
+                Ok(false) => reservation = Reservation::new(Arc::clone(self), request),
+                Err(ReserveError::StoreUnavailable(_)) if may_wait(request) => {
+                    self.wait_for_store(POLL_INTERVAL).await;
                 }
-                obtained => obtained?,
+                Err(e) => return Err(e),
             }
         }
     }
 
-    /// Returns tokens of idle programs that exceed what their next turn probably needs.
-    pub async fn return_excess(&self) {
-        let excess = |account: &Account| {
-            let (at, max_tokens) = (*account.last_request.lock())?;
-            let is_idle = at.elapsed() > IDLE_TIMEOUT;
-            let excess = allocation::excess(&account.quota.lock(), max_tokens);
-            (is_idle && excess > 0).then_some(excess)
-        };
-        self.return_tokens(excess).await;
+    /// Allocates the tokens of a reservation; returns false if the reservation must not be used,
+    /// since other turns allocated tokens at the same time.
+    async fn try_reserve(
+        &self,
+        reservation: &mut Reservation,
+        request: &TokenRequest,
+    ) -> Result<bool, ReserveError> {
+        while !reservation.is_requested() && !self.fits(request) {
+            // Turns may have set tokens free since the last read.
+            self.partitions.refresh_program(&request.program).await?;
+            if !self.fits(request) {
+                self.refuse_or_wait(request).await?;
+            }
+        }
+        reservation.allocate().await?;
+        Ok(self.is_within_limit(request))
     }
 
-    /// Returns all unused tokens, before the process exits.
-    pub async fn return_all_unused(&self) {
-        self.return_tokens(|_| Some(u64::MAX)).await;
+    /// Whether the tokens of a turn fit into the budget, by the records read so far.
+    fn fits(&self, request: &TokenRequest) -> bool {
+        let total = self.partitions.total_allocated(&request.program);
+        total + request.max_tokens <= allocation::limit(request.budget, request.max_tokens)
     }
 
-    /// Returns unused tokens of each program, up to the number that `choose` returns.
-    async fn return_tokens(&self, choose: impl Fn(&Account) -> Option<u64>) {
-        if self.partitions.store_unreachable_for().is_some() {
-            return;
+    /// Whether all allocations read so far, also that of the turn, fit into the budget.
+    fn is_within_limit(&self, request: &TokenRequest) -> bool {
+        let total = self.partitions.total_allocated(&request.program);
+        total <= allocation::limit(request.budget, request.max_tokens)
+    }
+
+    /// Refuses a turn for which there are no tokens, or waits for turns in flight to set some
+    /// free.
+    async fn refuse_or_wait(&self, request: &TokenRequest) -> Result<(), ReserveError> {
+        let balance = self.balance(&request.program).await?;
+        if self.fits(request) {
+            return Ok(());
         }
-        let accounts: Vec<_> = self.accounts.lock().clone().into_iter().collect();
-        let mut allocations = Vec::new();
-        for (program, account) in accounts {
-            let Some(chosen) = choose(&account) else {
-                continue;
-            };
-            let unused = account.quota.lock().release(chosen);
-            let changed = allocation::shrink(&mut account.allocations.lock(), unused);
-            allocations.extend(changed.into_iter().map(|(id, n)| (program.clone(), id, n)));
+        if balance.budget_state(request.budget) == BudgetState::Spent {
+            self.note_spent(&request.program, balance);
+            return Err(ReserveError::Exhausted(balance));
         }
-        if let Err(e) = self.partitions.update_allocations(allocations).await {
-            // The tokens stay allocated and count as used, so the budget is not exceeded.
-            log::warn!(error = e.to_string().as_str(); "failed to return unused tokens; they count as used");
+        if !may_wait(request) {
+            return Err(ReserveError::AllReserved(balance));
         }
+        // Turns that wait for the same tokens must not go on at the same moment.
+        let factor = rand::rng().random_range(0.5..1.0);
+        task::sleep(POLL_INTERVAL.mul_f64(factor)).await;
+        Ok(())
     }
 
-    /// Removes the state of programs that had no turn within `span`.
-    pub fn expire(&self, span: Duration) {
-        let is_recent = |a: &Account| {
-            a.last_request
-                .lock()
-                .is_some_and(|(at, _)| at.elapsed() < span)
-        };
-        let mut accounts = self.accounts.lock();
-        accounts.retain(|_, a| Arc::strong_count(a) > 1 || is_recent(a));
-        let has_account = |program: &ProgramKey| accounts.contains_key(program);
-        self.grants
-            .lock()
-            .retain(|p, g| g.unrecorded > 0 || has_account(p));
-        let granted: Vec<ProgramKey> = self.grants.lock().keys().cloned().collect();
-        let is_retained = |p: &ProgramKey| {
-            has_account(p) || granted.contains(p) || self.partitions.has_allocations(p)
-        };
-        let before = self.clock.before(span);
-        self.claims().expire(before, is_retained);
+    /// Balance of a program that has spent the budget of the request, if that is known: what
+    /// ended turns have used never becomes free.
+    fn spent_balance(&self, request: &TokenRequest) -> Option<TokenBalance> {
+        let spent = self.spent.lock();
+        let (balance, _) = spent.get(&request.program)?;
+        (balance.used > request.budget).then_some(*balance)
     }
 
-    /// Returns the account of a program, creating it if there is none.
-    fn account(&self, program: &ProgramKey) -> Arc<Account> {
-        Arc::clone(self.accounts.lock().entry(program.clone()).or_default())
+    /// Notes what the turns of a program have used, so that further turns are refused without
+    /// a call.
+    fn note_spent(&self, program: &ProgramKey, balance: TokenBalance) {
+        if balance.is_estimated {
+            return;
+        }
+        let noted = (balance, self.clock.mono());
+        self.spent.lock().insert(program.clone(), noted);
     }
 
-    /// Obtains tokens, also if the turn that needs them is cancelled meanwhile: the store and
-    /// the peers count them as this daemon's.
-    async fn obtain_uncancelled(
-        self: &Arc<Self>,
-        account: &Arc<Account>,
-        request: &TokenRequest,
-    ) -> Result<(), ReserveError> {
-        let (ledger, account) = (Arc::clone(self), Arc::clone(account));
-        let request = request.clone();
-        task::spawn(async move { ledger.obtain(&account, &request).await }).await
+    /// Forgets budgets that were found spent longer than `span` ago.
+    pub fn expire(&self, span: Duration) {
+        let before = self.clock.before(span);
+        self.spent.lock().retain(|_, (_, at)| *at >= before);
     }
 
-    /// Obtains tokens from the store or from peers, for one turn of a program at a time.
-    async fn obtain(
-        self: &Arc<Self>,
-        account: &Arc<Account>,
-        request: &TokenRequest,
-    ) -> Result<(), ReserveError> {
-        let _obtain_guard = account.obtain_lock.lock().await;
-        let missing = request
-            .max_tokens
-            .saturating_sub(account.quota.lock().available());
-        if missing == 0 {
-            return Ok(());
-        }
-        let total = self.partitions.total_allocated(&request.program);
-        let has_unconfirmed = account.unconfirmed.lock().is_some();
-        if !has_unconfirmed && total + missing > allocation_limit(account, request) {
-            return self.gather_from_peers(account, request, missing).await;
-        }
-        let limit = allocation::limit(request.budget, request.max_tokens);
-        if self.partitions.is_store_slow() {
-            let obtained = self.obtain_without_store(account, request, missing, StoreFailure::Slow);
-            if obtained.await.is_ok() {
-                return Ok(());
-            }
-        }
-        let tokens = allocation::allocation_size(missing, request.max_tokens, total, limit);
-        match self.allocate(account, request, tokens).await {
-            Ok(()) => Ok(()),
-            Err(e) => {
-                self.obtain_without_store(account, request, missing, e)
-                    .await
-            }
+    /// Settles an allocation with the tokens that its turn has used, however long that takes.
+    async fn settle(&self, settlement: &Settlement, urgency: Urgency) {
+        while let Err(e) = self.partitions.settle(settlement, urgency).await {
+            let program = &*settlement.program.0;
+            log::debug!(program, error = e.to_string().as_str(); "failed to settle tokens; retrying");
+            self.wait_for_store(RETRY_DELAY).await;
         }
+        self.close(&settlement.program, &settlement.id);
     }
 
-    /// Allocates tokens from the store; if the call fails, it is made once more until the
-    /// store responds.
-    async fn allocate(
-        self: &Arc<Self>,
-        account: &Arc<Account>,
-        request: &TokenRequest,
-        tokens: u64,
-    ) -> Result<(), StoreFailure> {
-        let is_being_confirmed = account.unconfirmed.lock().is_some();
-        let allocated = self.try_allocate(account, request, tokens).await;
-        if allocated.is_err() && !is_being_confirmed {
-            task::spawn(Arc::clone(self).confirm(Arc::clone(account), request.clone()));
+    /// Settles the allocations of a program whose turns have ended, so that other daemons can
+    /// read what is free.
+    pub async fn flush(&self, program: &ProgramKey) {
+        let started_at = Instant::now();
+        self.partitions.flush_settlements(program);
+        while self.has_ended_turns(program) && started_at.elapsed() < FLUSH_TIMEOUT {
+            task::sleep(FLUSH_POLL_INTERVAL).await;
         }
-        allocated
     }
 
-    /// Allocates tokens from the store, or makes the unconfirmed allocation once more.
-    async fn try_allocate(
-        &self,
-        account: &Account,
-        request: &TokenRequest,
-        tokens: u64,
-    ) -> Result<(), StoreFailure> {
-        let unconfirmed = account.unconfirmed.lock().clone();
-        let (id, tokens) = unconfirmed.unwrap_or_else(|| (self.next_allocation_id(), tokens));
-        let recorded = self.record_allocation(account, request, &id, tokens).await;
-        *account.unconfirmed.lock() = recorded.is_err().then_some((id, tokens));
-        recorded
+    /// Whether allocations of a program are not settled although their turns have ended.
+    fn has_ended_turns(&self, program: &ProgramKey) -> bool {
+        let open = self.open.lock();
+        let of_program = open.get(program);
+        of_program.is_some_and(|o| o.values().any(|a| *a == OpenAllocation::Ended))
     }
 
-    /// Makes the unconfirmed allocation of an account once more until the store responds;
-    /// its tokens can then be used, here or by other daemons.
-    async fn confirm(self: Arc<Self>, account: Arc<Account>, request: TokenRequest) {
-        while account.unconfirmed.lock().is_some() {
-            task::sleep(CONFIRM_INTERVAL).await;
-            if self.partitions.store_unreachable_for().is_some() {
-                continue;
-            }
-            let _obtain_guard = account.obtain_lock.lock().await;
-            if account.unconfirmed.lock().is_some() {
-                // After a failure the allocation is still unconfirmed.
-                let _ = self.try_allocate(&account, &request, 0).await;
-            }
+    /// Notes that the turn of an allocation has ended.
+    fn end(&self, program: &ProgramKey, id: &AllocationId) {
+        let mut open = self.open.lock();
+        let allocation = open.get_mut(program).and_then(|o| o.get_mut(id));
+        if let Some(allocation) = allocation {
+            *allocation = OpenAllocation::Ended;
         }
     }
 
-    /// Records an allocation in the store and adds its tokens to the quota, or undoes it if
-    /// it exceeds the limit.
-    async fn record_allocation(
-        &self,
-        account: &Account,
-        request: &TokenRequest,
-        id: &AllocationId,
-        tokens: u64,
-    ) -> Result<(), StoreFailure> {
-        self.partitions
-            .allocate(&request.program, id, tokens)
-            .await?;
-        if self.partitions.total_allocated(&request.program) <= allocation_limit(account, request) {
-            account.quota.lock().add(tokens);
-            account.allocations.lock().push((id.clone(), tokens));
-            return Ok(());
+    /// Forgets an allocation that is settled or was never made.
+    fn close(&self, program: &ProgramKey, id: &AllocationId) {
+        let mut open = self.open.lock();
+        let Some(of_program) = open.get_mut(program) else {
+            return;
+        };
+        of_program.remove(id);
+        if of_program.is_empty() {
+            open.remove(program);
         }
-        // Other daemons allocated the tokens first: undo the allocation; the caller
-        // starts over.
-        self.partitions.allocate(&request.program, id, 0).await
     }
 
-    /// Hands unused tokens to another daemon and reports this daemon's quota, offline
-    /// grants and claim; depending on `purpose`, disables offline grants here or records
-    /// the other daemon's claim.
-    pub fn release(
-        &self,
-        program: &ProgramKey,
-        requested: u64,
-        sender: Incarnation,
-        purpose: Purpose,
-    ) -> PeerResponse {
-        let account = self.accounts.lock().get(program).cloned();
-        let (tokens, remaining_quota) = match account {
-            None => (0, LocalQuota::default()),
-            Some(account) => {
-                let mut quota = account.quota.lock();
-                (quota.release(requested), *quota)
-            }
-        };
-        let mut claims = self.claims();
-        let claim = claims.claim_mut(program, self.clock.mono());
-        let denies_grant = match purpose {
-            Purpose::Record => {
-                claim.grants_disabled = true;
-                false
-            }
-            Purpose::Grant => !self.knows_all_claims(program) || !claim.try_acquire(&sender),
-            Purpose::Share => false,
+    /// Waits until the store responds again, for `max` at most.
+    async fn wait_for_store(&self, max: Duration) {
+        let timeout = async {
+            task::sleep(max).await;
         };
-        let is_own = |daemon: &Incarnation| *daemon == self.peers.local.incarnation;
-        let grants = self.offline_grants(program);
-        let claim = claim.holder.clone().map(|holder| ClaimReport {
-            has_granted: is_own(&holder) && grants.total > 0,
-            holder,
-        });
-        PeerResponse::Released {
-            tokens,
-            remaining_quota,
-            unrecorded_grants: grants.unrecorded,
-            claim,
-            denies_grant,
-            reaches_store: self.partitions.is_store_responsive(),
+        timeout.or(self.partitions.wait_for_store()).await;
+    }
+
+    /// Waits for allocations to be settled before the process exits.
+    pub async fn settle_all(&self) {
+        let started_at = Instant::now();
+        let is_late = || started_at.elapsed() > SETTLE_TIMEOUT;
+        let programs: Vec<ProgramKey> = self.open.lock().keys().cloned().collect();
+        for program in &programs {
+            self.partitions.flush_settlements(program);
+        }
+        while !self.open.lock().is_empty() && !is_late() {
+            task::sleep(FLUSH_POLL_INTERVAL).await;
+        }
+        let open: usize = self.open.lock().values().map(HashMap::len).sum();
+        if open > 0 {
+            log::warn!(open; "token allocations are not settled at the stop; they count as used");
         }
     }
 
-    /// Whether claims that this daemon agrees to are remembered, and those are known that
-    /// the last daemon of the VM handed over. To be called with the claims locked.
-    fn knows_all_claims(&self, program: &ProgramKey) -> bool {
-        self.partitions.has_read_allocations(program)
-            && !self.has_handed_over.load(Ordering::Relaxed)
+    /// Tokens of a program that turns in flight through this daemon have reserved.
+    fn reserved(&self, program: &ProgramKey) -> u64 {
+        let open = self.open.lock();
+        let tokens = |allocation: &OpenAllocation| match allocation {
+            OpenAllocation::Reserved(tokens) => *tokens,
+            OpenAllocation::Ended => 0,
+        };
+        let of_program = open.get(program).into_iter().flat_map(HashMap::values);
+        of_program.map(tokens).sum()
     }
 
     /// Creates an id for a new allocation of this daemon.
@@ -351,14 +314,16 @@
             made_at: *last,
         }
     }
-}
 
-/// Maximum number of tokens that all daemons together may have allocated of a program, as
-/// far as this daemon's account knows.
-fn allocation_limit(account: &Account, request: &TokenRequest) -> u64 {
-    let limit = allocation::limit(request.budget, request.max_tokens);
-    match *account.grant_reserve.lock() {
-        Some(reserve) => limit.saturating_sub(reserve),
-        None => allocation::recorded_allocation_limit(limit),
+    /// Notes that an allocation is made for a turn in flight.
+    fn open(&self, program: &ProgramKey, id: &AllocationId, tokens: u64) {
+        let mut open = self.open.lock();
+        let of_program = open.entry(program.clone()).or_default();
+        of_program.insert(id.clone(), OpenAllocation::Reserved(tokens));
     }
 }
+
+/// Whether a turn can wait for tokens once more.
+fn may_wait(request: &TokenRequest) -> bool {
+    Instant::now() + POLL_INTERVAL < request.deadline
+}
--- a/kingcupspan/src/gateway/membership.rs
+++ b/kingcupspan/src/gateway/membership.rs
@@ -3,14 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use kingcupspan_core::id::WallMs;
 use kingcupspan_platform::store::{self, Partition, Record};
 use rmp_serde::decode;
 use serde::Serialize;
 
 use crate::gateway::{
     partition_cursor::PartitionCursor,
-    peers::{GracefulShutdown, Peers, VmEntry},
+    peers::Peers,
     store::{Store, StoreFailure},
 };
 
@@ -20,7 +19,7 @@
 /// Pause after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Prefix of the keys of VM entries; the VM's name follows.
+/// Prefix of the keys of records that former versions wrote for VMs; the VM's name follows.
 const VM_PREFIX: &str = "vm/";
 
 /// Membership of this daemon in the list of daemons that the store holds.
@@ -45,21 +44,13 @@
         Partition::new(&self.topic, 0)
     }
 
-    /// Removes this daemon from the member list, after it has put everything into the store
-    /// that other daemons may still need.
+    /// Removes this daemon from the member list.
     pub async fn leave(&self) {
-        let shutdown = GracefulShutdown {
-            at: self.peers.now(),
-            is_complete: true,
+        let record = Record {
+            key: self.peers.local.vm.clone(),
+            value: None,
         };
-        let records = [
-            Record {
-                key: self.peers.local.vm.clone(),
-                value: None,
-            },
-            self.vm_record(Some(shutdown)),
-        ];
-        if let Err(e) = self.store.append(self.partition(), &records).await {
+        if let Err(e) = self.store.append(self.partition(), &[record]).await {
             log::warn!(error = e.to_string().as_str(); "failed to remove this daemon from the member list");
         }
     }
@@ -72,9 +63,8 @@
             task::sleep(RETRY_DELAY).await;
         }
         loop {
-            match self.read(&mut cursor).await {
-                Ok(()) => self.peers.mark_members_loaded(),
-                Err(e) => log::warn!(error = e.to_string().as_str(); "cannot read the member list"),
+            if let Err(e) = self.read(&mut cursor).await {
+                log::warn!(error = e.to_string().as_str(); "cannot read the member list");
             }
             task::sleep(POLL_INTERVAL).await;
         }
@@ -83,39 +73,13 @@
     /// Reads the member list and adds this daemon to it.
     async fn join(&self, cursor: &mut PartitionCursor) -> Result<(), StoreFailure> {
         self.read(cursor).await?;
-        let shutdown = self.peers.local_vm().and_then(|v| v.shutdown);
-        if !self.peers.is_listed() && shutdown.is_some_and(|s| s.is_complete) {
-            self.peers.mark_state_complete();
-        }
-        let local = self.peers.local_entry();
-        let records = [
-            Record {
-                key: local.vm.clone(),
-                value: Some(encode(&local)),
-            },
-            self.vm_record(None),
-        ];
-        self.store.append(self.partition(), &records).await?;
-        Ok(())
-    }
-
-    /// Record of the entry of this daemon's VM.
-    fn vm_record(&self, shutdown: Option<GracefulShutdown>) -> Record {
         let local = &self.peers.local;
-        let joined = match local.has_complete_state {
-            true => WallMs(0),
-            false => local.started,
+        let record = Record {
+            key: local.vm.clone(),
+            value: Some(encode(local)),
         };
-        let known = self.peers.local_vm();
-        let entry = VmEntry {
-            domain: local.domain.clone(),
-            joined: known.map_or(joined, |v| v.joined),
-            shutdown,
-        };
-        Record {
-            key: format!("{VM_PREFIX}{}", local.vm),
-            value: Some(encode(&entry)),
-        }
+        self.store.append(self.partition(), &[record]).await?;
+        Ok(())
     }
 
     /// Reads the changes of the member list.
@@ -127,11 +91,10 @@
 
     /// Applies a record of the member list to the known peers.
     fn apply(&self, record: &Record) {
-        let result = match record.key.strip_prefix(VM_PREFIX) {
-            Some(vm) => self.apply_vm(vm, record.value.as_deref()),
-            None => self.apply_member(&record.key, record.value.as_deref()),
-        };
-        if let Err(e) = result {
+        if record.key.starts_with(VM_PREFIX) {
+            return;
+        }
+        if let Err(e) = self.apply_member(&record.key, record.value.as_deref()) {
             log::error!(key = record.key.as_str(), error = e.to_string().as_str(); "cannot decode entry of the member list; skipped");
         }
     }
@@ -144,14 +107,6 @@
         }
         Ok(())
     }
-
-    /// Applies the entry of a VM.
-    fn apply_vm(&self, vm: &str, entry: Option<&[u8]>) -> Result<(), decode::Error> {
-        if let Some(entry) = entry {
-            self.peers.insert_vm(vm, rmp_serde::from_slice(entry)?);
-        }
-        Ok(())
-    }
 }
 
 /// Encodes an entry; entries consist of strings and numbers, which always encode.
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -9,7 +9,6 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    mem,
     sync::Arc,
     time::Duration,
 };
@@ -21,14 +20,14 @@
 use kingcupspan_core::{
     digest::Digest,
     gateway::{
-        allocation::{AllocationId, Allocations},
+        allocation::{AllocationId, Allocations, DaemonAllocations, Settlement},
         call::{ProgramKey, RequestId},
         expiry::TurnExpiry,
         fragment::Assembler,
-        grant::Incarnation,
         history::TurnCache,
+        incarnation::Incarnation,
     },
-    id::{MonoMs, WallMs},
+    id::MonoMs,
 };
 use kingcupspan_platform::{
     settings::StoreSettings,
@@ -36,10 +35,11 @@
 };
 use parking_lot::Mutex;
 
+pub use self::turns::TurnToStore;
 use crate::{
     clock::Clock,
     gateway::{
-        group_commit::GroupCommit,
+        group_commit::{GroupCommit, Urgency},
         partition_cursor::PartitionCursor,
         store::{Store, StoreFailure},
         stored_record::{self, StoredRecord},
@@ -66,23 +66,12 @@
     pub number: u32,
 }
 
-/// Time at which a read began.
-#[derive(Debug, Clone, Copy, Default)]
-struct ReadTime {
-    mono: MonoMs,
-    wall: WallMs,
-}
-
 /// Read position in a partition, locked while the partition is read.
 type SharedCursor = Arc<AsyncMutex<PartitionCursor>>;
 
 /// The gateway's partitions in the store, and the state read from them.
 pub struct Partitions {
     clock: Clock,
-
-    /// Name of this daemon's VM.
-    vm: String,
-
     store: Arc<Store>,
     topics: Arc<[String]>,
     group_commit: Arc<GroupCommit>,
@@ -92,7 +81,7 @@
 
     /// Partitions that were read completely since the process started, with the start of the
     /// last such read.
-    last_reads: Mutex<HashMap<PartitionId, ReadTime>>,
+    last_reads: Mutex<HashMap<PartitionId, MonoMs>>,
 
     expiry: Mutex<HashMap<PartitionId, TurnExpiry>>,
     turns: Mutex<TurnCache>,
@@ -101,12 +90,6 @@
     fragments: Mutex<Assembler>,
 
     allocations: Mutex<Allocations>,
-
-    /// Claims that the last daemon of this VM handed over and that were not taken yet.
-    inherited_claims: Mutex<Vec<(ProgramKey, Incarnation)>>,
-
-    /// Records of all claims that the last daemon of this VM handed over.
-    claim_records: Mutex<Vec<(PartitionId, String)>>,
 }
 
 impl Partitions {
@@ -115,7 +98,6 @@
         store: Arc<Store>,
         settings: &StoreSettings,
         cache_bytes: usize,
-        vm: String,
         clock: Clock,
     ) -> Self {
         let name = |i| store::keyed_topic(&format!("turns-{i}"));
@@ -124,7 +106,6 @@
         let topics: Arc<[String]> = topics.into();
         Self {
             clock,
-            vm,
             group_commit: Arc::new(GroupCommit::new(
                 Arc::clone(&store),
                 Arc::clone(&topics),
@@ -140,8 +121,6 @@
             turns: Mutex::new(TurnCache::new(cache_bytes)),
             fragments: Mutex::default(),
             allocations: Mutex::default(),
-            inherited_claims: Mutex::default(),
-            claim_records: Mutex::default(),
         }
     }
 
@@ -180,50 +159,36 @@
         self.allocations.lock().total_allocated(program)
     }
 
-    /// Whether the allocations of a program were read since the process started.
-    pub fn has_read_allocations(&self, program: &ProgramKey) -> bool {
-        self.last_read(program).is_some()
-    }
-
-    /// Last read of the allocations of a program; `None` since the process started.
-    fn last_read(&self, program: &ProgramKey) -> Option<ReadTime> {
+    /// Start of the last read of the allocations of a program; `None` since the process started.
+    fn last_read(&self, program: &ProgramKey) -> Option<MonoMs> {
         let id = self.partition_of_program(program);
         self.last_reads.lock().get(&id).copied()
     }
 
-    /// Earliest time at which a program can have become active, according to the records
-    /// read so far: the time of its first allocation, or the last read that found none.
-    pub fn active_since(&self, program: &ProgramKey) -> WallMs {
-        let first = self.allocations.lock().first_made_at(program);
-        first.unwrap_or_else(|| self.last_read(program).unwrap_or_default().wall)
-    }
-
     /// Whether allocations of a program are in memory.
     pub fn has_allocations(&self, program: &ProgramKey) -> bool {
         self.allocations.lock().contains(program)
     }
 
-    /// Whether the records read so far disable offline grants for a program.
-    pub fn grants_disabled(&self, program: &ProgramKey) -> bool {
-        self.allocations.lock().grants_disabled(program)
-    }
-
     /// Removes incomplete turns from memory of which no fragment was read within `span`, and
     /// programs that had no record within `span` when their partition was last read; later
     /// records are not known yet.
     pub fn expire(&self, span: Duration) {
         self.fragments.lock().expire(self.clock.before(span));
         let before = |program: &ProgramKey| {
-            let last_read = self.last_read(program).unwrap_or_default().mono;
+            let last_read = self.last_read(program).unwrap_or_default();
             MonoMs(last_read.0.saturating_sub(span.as_millis() as u64))
         };
         self.allocations.lock().expire(before);
     }
 
-    /// Number of tokens of a program that each daemon has allocated, according to the
-    /// records read so far.
-    pub fn allocated_by_daemon(&self, program: &ProgramKey) -> BTreeMap<Incarnation, u64> {
-        self.allocations.lock().allocated_by_daemon(program)
+    /// Allocations of a program that each daemon has made, according to the records read so
+    /// far.
+    pub fn allocations_by_daemon(
+        &self,
+        program: &ProgramKey,
+    ) -> BTreeMap<Incarnation, DaemonAllocations> {
+        self.allocations.lock().by_daemon(program)
     }
 
     /// Time for which the store has not responded to this daemon; `None` while it responds.
@@ -241,11 +206,6 @@
         self.store.is_slow()
     }
 
-    /// Whether the store has responded to this daemon lately, without delay.
-    pub fn is_store_responsive(&self) -> bool {
-        self.store.is_responsive()
-    }
-
     /// Records an allocation and reads all records before it.
     pub async fn allocate(
         &self,
@@ -254,95 +214,41 @@
         tokens: u64,
     ) -> Result<(), StoreFailure> {
         let (record, allocation) = stored_record::allocation(program.clone(), id.clone(), tokens);
-        self.append_and_read(program, record, allocation).await
-    }
-
-    /// Records changed allocations of several programs without reading other records.
-    pub async fn update_allocations(
-        &self,
-        allocations: Vec<(ProgramKey, AllocationId, u64)>,
-    ) -> Result<(), StoreFailure> {
-        let record = |(program, id, tokens): (ProgramKey, AllocationId, u64)| {
-            let partition = self.partition_of_program(&program);
-            (partition, stored_record::allocation(program, id, tokens).0)
-        };
-        self.append_all(allocations.into_iter().map(record)).await
-    }
-
-    /// Hands claims on programs to the next daemon of this VM.
-    pub async fn store_claims(
-        &self,
-        claims: Vec<(ProgramKey, Incarnation)>,
-    ) -> Result<(), StoreFailure> {
-        let record = |(program, holder): (ProgramKey, Incarnation)| {
-            let partition = self.partition_of_program(&program);
-            (partition, stored_record::claim(program, holder, &self.vm))
-        };
-        self.append_all(claims.into_iter().map(record)).await
-    }
-
-    /// Takes the claims that the last daemon of this VM handed over and that were read
-    /// since the last call.
-    pub fn take_inherited_claims(&self) -> Vec<(ProgramKey, Incarnation)> {
-        mem::take(&mut self.inherited_claims.lock())
-    }
-
-    /// Deletes the records of the claims that this daemon has read.
-    pub async fn delete_inherited_claims(&self) {
-        let records = mem::take(&mut *self.claim_records.lock());
-        let deletion = |(partition, key)| (partition, Record { key, value: None });
-        if let Err(e) = self.append_all(records.into_iter().map(deletion)).await {
-            log::warn!(error = e.to_string().as_str(); "failed to delete claims that were handed over; the next start reads them again");
-        }
+        let partition = self.partition_of_program(program);
+        let started_at = self.clock.mono();
+        let append = self
+            .group_commit
+            .append(partition, vec![record], Urgency::Now);
+        let offset = append.await?;
+        self.apply(allocation);
+        self.read_up_to(partition, offset).await?;
+        self.last_reads.lock().insert(partition, started_at);
+        Ok(())
     }
 
-    /// Appends records of several partitions.
-    async fn append_all(
+    /// Records how many tokens of an allocation were used, without reading other records.
+    ///
+    /// This daemon counts with them at once: its own records are appended in their order.
+    pub async fn settle(
         &self,
-        records: impl Iterator<Item = (PartitionId, Record)>,
+        settlement: &Settlement,
+        urgency: Urgency,
     ) -> Result<(), StoreFailure> {
-        let appends: Vec<_> = records
-            .map(|(partition, record)| {
-                let group_commit = Arc::clone(&self.group_commit);
-                // All appends are started before the first one is awaited.
-                task::spawn(async move { group_commit.append(partition, record).await })
-            })
-            .collect();
-        let mut result = Ok(());
-        for append in appends {
-            result = append.await.map(|_| ()).and(result);
-        }
-        result
+        let (records, settled) = stored_record::settlement(settlement);
+        self.apply(settled);
+        let partition = self.partition_of_program(&settlement.program);
+        let appended = self.group_commit.append(partition, records, urgency);
+        appended.await.map(|_| ())
     }
 
-    /// Records that offline grants are disabled for a program.
-    pub async fn disable_offline_grants(&self, program: &ProgramKey) -> Result<(), StoreFailure> {
-        let (record, disabled) = stored_record::grants_disabled(program.clone());
-        self.append_and_read(program, record, disabled).await
-    }
-
-    /// Appends a record of a program and reads all records before it.
-    async fn append_and_read(
-        &self,
-        program: &ProgramKey,
-        record: Record,
-        stored: StoredRecord,
-    ) -> Result<(), StoreFailure> {
-        let id = self.partition_of_program(program);
-        let started_at = self.read_time();
-        let offset = self.group_commit.append(id, record).await?;
-        self.apply(stored);
-        self.read_up_to(id, offset).await?;
-        self.last_reads.lock().insert(id, started_at);
-        Ok(())
+    /// Appends the settlements of a program's partition now that wait for a call with others.
+    pub fn flush_settlements(&self, program: &ProgramKey) {
+        self.group_commit.flush(self.partition_of_program(program));
     }
 
-    /// The current time, at the start of a read.
-    fn read_time(&self) -> ReadTime {
-        ReadTime {
-            mono: self.clock.mono(),
-            wall: self.clock.wall(),
-        }
+    /// Reads the allocations of a program that were recorded since the last read.
+    pub async fn refresh_program(&self, program: &ProgramKey) -> Result<(), StoreFailure> {
+        self.refresh(self.partition_of_program(program)).await
     }
 
     /// Moves the cursor past records of this daemon if no other records precede them.
@@ -403,7 +309,7 @@
         id: PartitionId,
         cursor: &mut MutexGuardArc<PartitionCursor>,
     ) -> Result<(), StoreFailure> {
-        let started_at = self.read_time();
+        let started_at = self.clock.mono();
         let partition = self.store_partition(id);
         let advanced = cursor.advance(&self.store, partition, Duration::ZERO);
         let changes = advanced.await?;
@@ -431,15 +337,15 @@
         match rmp_serde::from_slice(value) {
             Ok(stored) => {
                 match &stored {
-                    StoredRecord::Turn(_, turn, written) => {
-                        self.track_expiry(id, &record.key, turn.retention, *written);
+                    StoredRecord::Turn(turn_id, turn, written) => {
+                        let use_key = stored_record::use_key(turn_id);
+                        for key in [&record.key, &use_key] {
+                            self.track_expiry(id, key, turn.retention, *written);
+                        }
                     }
                     StoredRecord::Fragment(f) => {
                         self.track_expiry(id, &record.key, f.retention, f.written);
                     }
-                    StoredRecord::Claim(_, _, vm) if *vm == self.vm => {
-                        self.claim_records.lock().push((id, record.key.clone()));
-                    }
                     _ => {}
                 }
                 self.apply(stored);
@@ -460,16 +366,8 @@
                     .lock()
                     .apply(&program, id, tokens, self.clock.mono());
             }
-            StoredRecord::GrantsDisabled(program) => {
-                self.allocations
-                    .lock()
-                    .disable_offline_grants(&program, self.clock.mono());
-            }
-            StoredRecord::Claim(program, holder, vm) => {
-                if vm == self.vm {
-                    self.inherited_claims.lock().push((program, holder));
-                }
-            }
+            // Records of former versions.
+            StoredRecord::GrantsDisabled(_) | StoredRecord::Claim(..) => {}
         }
     }
 }
--- a/kingcupspan/src/gateway/partitions/turns.rs
+++ b/kingcupspan/src/gateway/partitions/turns.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use kingcupspan_core::{
-    gateway::{call::RequestId, fragment::Fragment, history::Turn},
+    gateway::{allocation::Settlement, call::RequestId, fragment::Fragment, history::Turn},
     id::WallMs,
 };
 use kingcupspan_platform::store::{self, Record};
@@ -21,6 +21,19 @@
 /// it, and turns are spread over many partitions.
 const NEXT_PATH_DELAY: Duration = Duration::from_millis(60);
 
+/// A turn to write to the store.
+#[derive(Debug, Clone)]
+pub struct TurnToStore {
+    /// Id of the turn.
+    pub id: RequestId,
+
+    /// The turn.
+    pub turn: Arc<Turn>,
+
+    /// Tokens that the turn has used; `None` if it is only renewed or has no budget.
+    pub settlement: Option<Settlement>,
+}
+
 impl Partitions {
     /// Returns the chain of turns that ends with `last`, or the ids of the turns of the
     /// chain that are not in memory.
@@ -50,13 +63,21 @@
     pub async fn store_turns(
         &self,
         id: PartitionId,
-        turns: &[(RequestId, Arc<Turn>)],
+        turns: &[TurnToStore],
     ) -> Result<(), StoreFailure> {
         let expired = self.keys_to_delete(id).await;
         let now = self.clock.wall();
         let mut records = Vec::new();
-        for (turn_id, turn) in turns {
-            let of_turn = stored_record::turn_records(turn_id, turn, now, self.limits.record_bytes);
+        for TurnToStore {
+            id: turn_id,
+            turn,
+            settlement,
+        } in turns
+        {
+            let mut of_turn =
+                stored_record::turn_records(turn_id, turn, now, self.limits.record_bytes);
+            let turn_use = settlement.as_ref();
+            of_turn.extend(turn_use.map(|s| stored_record::turn_use(turn_id, s)));
             for record in &of_turn {
                 self.track_expiry(id, &record.key, turn.retention, now);
             }
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -8,7 +8,7 @@
 use crate::{
     edge::server::{self, Exchange},
     gateway::{
-        peers::{INCARNATION_HEADER, PeerRequest, PeerResponse},
+        peers::{INCARNATION_HEADER, PeerRequest, PeerResponse, Purpose},
         serve::Gateway,
     },
 };
@@ -51,16 +51,19 @@
     match request {
         PeerRequest::Hello => PeerResponse::Noted,
         PeerRequest::Release {
-            program,
-            requested,
-            sender,
-            purpose,
-        } => service.ledger.release(&program, requested, sender, purpose),
-        PeerRequest::Unclaim { program, claimant } => {
-            service.ledger.withdraw_claim(&program, &claimant);
-            PeerResponse::Noted
+            program, purpose, ..
+        } => {
+            service.ledger.flush(&program).await;
+            PeerResponse::Released {
+                tokens: 0,
+                token_use: service.ledger.token_use(&program),
+                unrecorded_grants: 0,
+                claim: None,
+                denies_grant: purpose == Purpose::Grant,
+                reaches_store: true,
+            }
         }
-        PeerRequest::Lend(request) => PeerResponse::Lent(service.ledger.lend(&request).await),
+        PeerRequest::Unclaim { .. } => PeerResponse::Noted,
         PeerRequest::Crashed(crashes) => {
             service.blocked_requests.record(&crashes);
             PeerResponse::Noted
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -1,42 +1,62 @@
 //! Requests that daemons send to each other, and the responses to them.
 
-use std::time::Duration;
-
 use kingcupspan_core::gateway::{
-    allocation::LocalQuota,
     call::{ProgramKey, RequestId},
     crash_tracker::Crash,
-    grant::{ClaimReport, Incarnation},
     history::Turn,
+    incarnation::Incarnation,
 };
 use serde::{Deserialize, Serialize};
 
-/// Purpose for which unused tokens are requested.
+/// Purpose for which a daemon asks for the use of a program's tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
-    /// The sender records its allocations in the store; from now on the recipient makes
-    /// no offline grants for the program.
+    /// Sent by former versions: the recipient must grant no tokens without the store.
     Record,
 
-    /// The store is unreachable and the sender wants to make an offline grant.
+    /// Sent by former versions: the sender wants to grant itself tokens without the store.
     Grant,
 
-    /// The sender only wants the unused tokens.
+    /// The sender only wants to know the use of the tokens.
     Share,
 }
 
+/// Tokens of a program that a daemon has allocated.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenUse {
+    /// All tokens allocated.
+    pub allocated: u64,
+
+    /// Tokens used by turns that have ended.
+    pub used: u64,
+
+    /// Tokens reserved for turns in flight.
+    pub reserved: u64,
+}
+
+/// A claim on a program, which former versions report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimReport {
+    /// The daemon that has claimed the program.
+    #[serde(rename = "by")]
+    pub holder: Incarnation,
+
+    /// Whether the reporting peer itself holds the claim and has granted tokens.
+    pub has_granted: bool,
+}
+
 /// Request to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// Checks that the peer responds.
     Hello,
 
-    /// Requests unused tokens of a program.
+    /// Asks for the use of the tokens of a program that the peer has allocated.
     Release {
         /// The program.
         program: ProgramKey,
 
-        /// Number of tokens requested.
+        /// Number of unused tokens requested from a former version; 0 for none.
         #[serde(rename = "want")]
         requested: u64,
 
@@ -48,7 +68,7 @@
         purpose: Purpose,
     },
 
-    /// Withdraws the claim of an incarnation that made no offline grants for a program.
+    /// Sent by former versions: withdraws the claim of an incarnation on a program.
     Unclaim {
         /// The program.
         program: ProgramKey,
@@ -58,9 +78,6 @@
         claimant: Incarnation,
     },
 
-    /// Requests tokens of a program on which the peer has the claim.
-    Lend(LendRequest),
-
     /// Reports requests that were running on an endpoint when it crashed.
     Crashed(Vec<Crash>),
 
@@ -84,7 +101,6 @@
             Self::Hello => "hello",
             Self::Release { .. } => "release",
             Self::Unclaim { .. } => "unclaim",
-            Self::Lend(_) => "lend",
             Self::Crashed(_) => "crashed",
             Self::Find(_) => "find",
             Self::Call { .. } => "call",
@@ -92,27 +108,6 @@
     }
 }
 
-/// Request for tokens to the daemon that may make offline grants for a program.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct LendRequest {
-    /// The program.
-    pub program: ProgramKey,
-
-    /// Token budget of the program.
-    pub budget: u64,
-
-    /// Maximum number of tokens that the turn may use.
-    #[serde(rename = "most")]
-    pub max_tokens: u64,
-
-    /// Number of tokens requested.
-    #[serde(rename = "want")]
-    pub requested: u64,
-
-    /// Time after the last turn of the program within which the program may continue.
-    pub retention: Duration,
-}
-
 /// Response of a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerResponse {
@@ -122,32 +117,29 @@
 
     /// Response to [`PeerRequest::Release`].
     Released {
-        /// Number of tokens handed over.
+        /// Unused tokens handed over; 0, since daemons hold none.
         tokens: u64,
 
-        /// The peer's local quota after the tokens were handed over.
+        /// The peer's use of the tokens.
         #[serde(rename = "holds")]
-        remaining_quota: LocalQuota,
+        token_use: TokenUse,
 
-        /// Tokens of the peer's offline grants that are not recorded in the store yet.
+        /// Tokens that a former version has granted itself and not recorded.
         #[serde(rename = "unrecorded")]
         unrecorded_grants: u64,
 
-        /// Claim on the program that the peer knows of.
+        /// Claim on the program that a former version knows of.
         #[serde(rename = "claimed")]
         claim: Option<ClaimReport>,
 
-        /// Whether the peer rejects an offline grant by the sender.
+        /// Whether the peer rejects a grant of tokens without the store.
         #[serde(rename = "is_denied")]
         denies_grant: bool,
 
-        /// Whether the peer reaches the store.
+        /// Whether the peer reaches the store, as former versions have to know before a grant.
         reaches_store: bool,
     },
 
-    /// Response to [`PeerRequest::Lend`]: number of tokens handed over.
-    Lent(u64),
-
     /// Response to [`PeerRequest::Find`]: the turns found in memory.
     Found(Vec<(RequestId, Turn)>),
 
@@ -155,17 +147,3 @@
     /// if the peer cannot reach the store either.
     Called(Option<(u16, Vec<u8>)>),
 }
-
-impl PeerResponse {
-    /// Whether the peer agrees to an offline grant by the sender of the request.
-    pub fn agrees_to_grant(&self) -> bool {
-        match self {
-            Self::Released {
-                denies_grant,
-                reaches_store,
-                ..
-            } => !denies_grant && !reaches_store,
-            _ => false,
-        }
-    }
-}
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -5,29 +5,20 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use async_std::task;
-use kingcupspan_core::{
-    gateway::grant::{Incarnation, Vote},
-    id::WallMs,
-};
+use kingcupspan_core::gateway::incarnation::Incarnation;
 use parking_lot::{Mutex, RwLock};
 use rand::seq::SliceRandom;
 
 pub use self::{
-    member::{ForgetfulDaemons, GracefulShutdown, Peer, VmEntry, needed_since},
-    message::{LendRequest, PeerRequest, PeerResponse, Purpose},
-};
-use crate::{
-    clock::Clock,
-    edge::client::{Client, ClientRequest, SendError, Timeouts},
+    member::Peer,
+    message::{PeerRequest, PeerResponse, Purpose, TokenUse},
 };
+use crate::edge::client::{Client, ClientRequest, SendError, Timeouts};
 
 /// Timeout of a request to a peer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
@@ -63,8 +54,8 @@
     #[error("cannot decode the peer's response")]
     Malformed,
 
-    /// The peer has been restarted since this daemon read the member list; it may lack
-    /// what the former run held in memory.
+    /// The peer has been restarted since this daemon read the member list; it lacks what the
+    /// former run held in memory.
     #[error("peer has been restarted")]
     Restarted,
 }
@@ -74,20 +65,11 @@
     /// Member list entry of this daemon.
     pub local: Peer,
 
-    clock: Clock,
     client: Client,
 
     /// Daemons of the member list by VM, including this one.
     members: RwLock<HashMap<String, Peer>>,
 
-    /// Entries of all VMs that have run a daemon.
-    vms: RwLock<HashMap<String, VmEntry>>,
-
-    has_loaded_members: AtomicBool,
-
-    /// Whether this daemon has complete state, see [`Peer::has_complete_state`].
-    has_complete_state: AtomicBool,
-
     /// VMs whose daemons did not respond to the last request, with the time of that request.
     unresponsive: Mutex<HashMap<String, Instant>>,
 
@@ -97,15 +79,11 @@
 
 impl Peers {
     /// Creates the state of a daemon that knows no peers yet.
-    pub fn new(local: Peer, clock: Clock) -> Self {
+    pub fn new(local: Peer) -> Self {
         Self {
-            has_complete_state: AtomicBool::new(local.has_complete_state),
             local,
-            clock,
             client: Client::default(),
             members: RwLock::default(),
-            vms: RwLock::default(),
-            has_loaded_members: AtomicBool::default(),
             unresponsive: Mutex::default(),
             last_responses: Mutex::default(),
         }
@@ -209,76 +187,6 @@
             .cloned()
     }
 
-    /// Wall-clock time of this daemon.
-    pub fn now(&self) -> WallMs {
-        self.clock.wall()
-    }
-
-    /// Member list entry of this daemon in its current state.
-    pub fn local_entry(&self) -> Peer {
-        Peer {
-            has_complete_state: self.has_complete_state.load(Ordering::Relaxed),
-            ..self.local.clone()
-        }
-    }
-
-    /// Records that the last run of this VM has left nothing behind.
-    pub fn mark_state_complete(&self) {
-        self.has_complete_state.store(true, Ordering::Relaxed);
-    }
-
-    /// Counts the daemons, including this one, that may lack state that daemons have put
-    /// into memory since `needed_since`.
-    pub fn forgetful(&self, needed_since: WallMs) -> ForgetfulDaemons {
-        let mut all = self.others();
-        all.push(self.local_entry());
-        let (forgetful, others): (Vec<Peer>, Vec<Peer>) =
-            all.into_iter().partition(|p| p.is_forgetful(needed_since));
-        let left = self.domains_of_left(needed_since);
-        let has_other = |domain: &String| others.iter().any(|o| o.domain == *domain);
-        let mut domains = left.iter().chain(forgetful.iter().map(|p| &p.domain));
-        ForgetfulDaemons {
-            daemons: forgetful.len(),
-            left: left.len(),
-            has_whole_domain: !domains.all(has_other),
-        }
-    }
-
-    /// Classifies the vote of a daemon that agrees to an offline grant, by what it may have
-    /// forgotten since `needed_since`.
-    pub fn vote(&self, peer: &Peer, needed_since: WallMs) -> Vote {
-        if !peer.is_forgetful(needed_since) {
-            return Vote::Agrees;
-        }
-        let vms = self.vms.read();
-        let joined = vms.get(&peer.vm).map(|v| v.joined);
-        match joined.is_some_and(|at| at >= needed_since) {
-            true => Vote::New,
-            false => Vote::Missing,
-        }
-    }
-
-    /// Failure domains of the VMs whose daemons have left since `needed_since`, one for each
-    /// VM that has not started another daemon.
-    pub fn domains_of_left(&self, needed_since: WallMs) -> Vec<String> {
-        let vms = self.vms.read();
-        let has_left = |v: &&VmEntry| v.shutdown.as_ref().is_some_and(|s| s.at >= needed_since);
-        vms.values()
-            .filter(has_left)
-            .map(|v| v.domain.clone())
-            .collect()
-    }
-
-    /// Entry of this daemon's VM; `None` before the VM's first start.
-    pub fn local_vm(&self) -> Option<VmEntry> {
-        self.vms.read().get(&self.local.vm).cloned()
-    }
-
-    /// Whether this daemon's VM is in the member list.
-    pub fn is_listed(&self) -> bool {
-        self.members.read().contains_key(&self.local.vm)
-    }
-
     /// Sends a request to a peer, unless the peer recently did not respond.
     pub async fn send(
         &self,
@@ -355,16 +263,6 @@
         responses
     }
 
-    /// Whether the member list has been read.
-    pub fn has_loaded_members(&self) -> bool {
-        self.has_loaded_members.load(Ordering::Relaxed)
-    }
-
-    /// Records that the member list has been read.
-    pub fn mark_members_loaded(&self) {
-        self.has_loaded_members.store(true, Ordering::Relaxed);
-    }
-
     /// Adds or updates a daemon of the member list.
     pub fn insert(&self, peer: Peer) {
         self.members.write().insert(peer.vm.clone(), peer);
@@ -374,12 +272,4 @@
     pub fn remove(&self, vm: &str) {
         self.members.write().remove(vm);
     }
-
-    /// Adds or updates the entry of a VM, which tells whether its daemon has left.
-    pub fn insert_vm(&self, vm: &str, entry: VmEntry) {
-        if entry.shutdown.is_some() {
-            self.remove(vm);
-        }
-        self.vms.write().insert(vm.to_owned(), entry);
-    }
 }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -83,30 +83,19 @@
         addr: settings.peer_addr,
         domain: settings.domain.clone(),
         started: clock.wall(),
-        has_complete_state: settings.is_first_start,
+        has_complete_state: false,
     };
-    let peers = Arc::new(Peers::new(own_entry, clock));
+    let peers = Arc::new(Peers::new(own_entry));
     let store = Arc::new(Store::new(settings.store.addr, Arc::clone(&peers)));
     task::spawn(Arc::clone(&store).probe_during_outages());
     let membership = Arc::new(Membership::new(Arc::clone(&store), Arc::clone(&peers)));
     let configuration = Arc::new(ActiveConfiguration::default());
     let endpoints = Arc::new(Endpoints::new(clock));
     let cache_bytes = (settings.memory_bytes / CACHE_MEMORY_DIVISOR) as usize;
-    let partitions = Partitions::new(
-        Arc::clone(&store),
-        &settings.store,
-        cache_bytes,
-        settings.vm.clone(),
-        clock,
-    );
+    let partitions = Partitions::new(Arc::clone(&store), &settings.store, cache_bytes, clock);
     let partitions = Arc::new(partitions);
     let connectivity = Connectivity::new(Arc::clone(&store), Arc::clone(&peers));
-    let ledger = Ledger::new(
-        Arc::clone(&partitions),
-        Arc::clone(&peers),
-        connectivity.clone(),
-        clock,
-    );
+    let ledger = Ledger::new(Arc::clone(&partitions), Arc::clone(&peers), clock);
     task::spawn(configuration::follow(
         Arc::clone(&store),
         Arc::clone(&configuration),
@@ -117,10 +106,7 @@
     ));
     task::spawn(Arc::clone(&peers).monitor_domains());
     let allocation_reader = Arc::clone(&partitions);
-    task::spawn(async move {
-        allocation_reader.read_allocations().await;
-        allocation_reader.delete_inherited_claims().await;
-    });
+    task::spawn(async move { allocation_reader.read_allocations().await });
     let blocked_requests = Arc::new(BlockedRequests::new(clock));
     let (crash_sender, observed_crashes) = async_channel::unbounded();
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
@@ -172,17 +158,8 @@
     let _ = stop_requested.recv().await;
     log::info!("stopping");
     gateway.shutdown.run(grace).await;
-    gateway.ledger.return_all_unused().await;
-    match gateway.ledger.hand_over_claims().await {
-        Ok(()) => {
-            gateway.membership.leave().await;
-        }
-        // The other daemons must poll this one before they rely on the recorded
-        // allocations, so it stays in the list of daemons.
-        Err(e) => {
-            log::warn!(error = e.to_string().as_str(); "cannot store the grant claims that this daemon remembers; staying in the list of daemons");
-        }
-    }
+    gateway.ledger.settle_all().await;
+    gateway.membership.leave().await;
     log::info!(under_way = gateway.shutdown.in_flight(); "stopped");
 }
 
@@ -194,7 +171,6 @@
         gateway.last_engines.expire();
         gateway.endpoints.expire();
         gateway.blocked_requests.expire();
-        gateway.ledger.return_excess().await;
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
     }
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -12,7 +12,12 @@
 use futures_lite::FutureExt;
 use kingcupspan_core::{
     digest::Digest,
-    gateway::{call::CallInfo, routing::RouteKind},
+    gateway::{
+        call::{CallInfo, RequestId},
+        history::Turn,
+        outage,
+        routing::RouteKind,
+    },
 };
 
 use crate::{
@@ -26,10 +31,10 @@
         exchange::{ConnectionPolicy, Exchange, Progress},
         history_lookup::{self, HistoryError},
         last_engines::LastEngines,
-        ledger::{Ledger, ReserveError, TokenRequest},
+        ledger::{Ledger, Reservation, ReserveError, TokenRequest},
         membership::Membership,
         metrics::Metrics,
-        partitions::Partitions,
+        partitions::{Partitions, TurnToStore},
         peers::Peers,
         relay,
         shutdown::Shutdown,
@@ -298,7 +303,6 @@
             budget,
             max_tokens,
             deadline: ex.preparation_deadline(),
-            retention: ex.route.retention.unwrap_or_default(),
         };
         let e = match self.ledger.reserve(&token_request).await {
             Ok(reservation) => {
@@ -315,21 +319,26 @@
         log::info!(request = &*ex.id.0, program = &*program.program.0, budget, most = token_request.max_tokens, error = e.to_string().as_str(); "cannot reserve tokens for the turn");
         Err(match reason {
             ErrorReason::BudgetExhausted => reason.into(),
+            ErrorReason::StoreUnreachable => ErrorResponse {
+                reason,
+                retry_after: Some(outage::retry_after(ex.remaining_time())),
+            },
             _ => retry_later(reason),
         })
     }
 
-    /// Stores the turn, then sends the final bytes of the response.
+    /// Stores the turn and the tokens that it used, then sends the final bytes of the response.
     async fn finish(
         &self,
         ex: &mut Exchange,
         caller: &mut Conn,
         response: relay::RelayedResponse,
     ) -> Result<u16, Failure> {
-        if let Some(turn) = response.turn {
+        let is_success = (200..300).contains(&response.status);
+        let reservation = ex.reservation.take_if(|_| is_success);
+        if response.turn.is_some() || reservation.is_some() {
             let started_at = Instant::now();
-            let turn = Arc::new(turn);
-            turn_storage::store_turn(&self.backlog, &self.partitions, &ex.id, turn).await;
+            self.store_outcome(&ex.id, response.turn, reservation).await;
             let held = started_at.elapsed();
             self.metrics.held_ends_s.observe(held.as_secs_f64());
             if held > LONG_HOLD {
@@ -341,6 +350,28 @@
             Err(_) => Err(Failure::Partial(ErrorReason::NoOutcome)),
         }
     }
+
+    /// Stores a turn and the tokens that it used; returns once its answer may end.
+    async fn store_outcome(
+        &self,
+        id: &RequestId,
+        turn: Option<Turn>,
+        reservation: Option<Reservation>,
+    ) {
+        if let Some(turn) = turn {
+            let turn = TurnToStore {
+                id: id.clone(),
+                turn: Arc::new(turn),
+                settlement: reservation.as_ref().map(Reservation::settlement),
+            };
+            return turn_storage::store_turn(&self.backlog, &self.partitions, turn).await;
+        }
+        let is_store_away = self.partitions.store_unreachable_for().is_some();
+        if let Some(reservation) = reservation.filter(|_| is_store_away) {
+            // If all daemons ended before the store returns, nobody would know the use.
+            reservation.settle().await;
+        }
+    }
 }
 
 /// Creates an error response to a request that may succeed when retried shortly.
--- a/kingcupspan/src/gateway/store/health.rs
+++ b/kingcupspan/src/gateway/store/health.rs
@@ -96,11 +96,6 @@
         is_current(pace.last_slow) && !is_current(pace.last_fast)
     }
 
-    /// Whether the store has responded to this daemon lately, without delay.
-    pub fn is_responsive(&self) -> bool {
-        self.unreachable_for().is_none() && is_current(self.pace.lock().last_fast)
-    }
-
     /// Records a response, which ends an outage.
     pub fn record_response(&self) {
         *self.last_response.lock() = Some(Instant::now());
--- a/kingcupspan/src/gateway/store/mod.rs
+++ b/kingcupspan/src/gateway/store/mod.rs
@@ -58,10 +58,6 @@
     #[error("store is unreachable")]
     Unreachable,
 
-    /// No call was made because the store responds too slowly.
-    #[error("store is slow")]
-    Slow,
-
     /// The response cannot be decoded.
     #[error(transparent)]
     Malformed(#[from] StoreError),
@@ -257,11 +253,6 @@
         self.health.is_slow()
     }
 
-    /// Whether the store has responded to this daemon lately, without delay.
-    pub fn is_responsive(&self) -> bool {
-        self.health.is_responsive()
-    }
-
     /// Makes a call directly and records whether the store responds.
     async fn call_direct(&self, call: &Call) -> Result<Vec<u8>, StoreFailure> {
         let timeouts = Timeouts {
@@ -335,7 +326,7 @@
         match self {
             Self::Refused(status) => matches!(status, 429 | 503),
             Self::NoResponse(_) | Self::Unreachable => true,
-            Self::Slow | Self::Malformed(_) => false,
+            Self::Malformed(_) => false,
         }
     }
 }
--- a/kingcupspan/src/gateway/stored_record.rs
+++ b/kingcupspan/src/gateway/stored_record.rs
@@ -3,11 +3,11 @@
 use kingcupspan_core::{
     digest::Digest,
     gateway::{
-        allocation::AllocationId,
+        allocation::{AllocationId, Settlement},
         call::{ProgramKey, RequestId},
         fragment::Fragment,
-        grant::Incarnation,
         history::Turn,
+        incarnation::Incarnation,
     },
     id::WallMs,
 };
@@ -28,16 +28,16 @@
     /// encoded id and turn.
     Fragment(Fragment),
 
-    /// Number of tokens of a program's budget that a daemon allocated to itself.
+    /// Number of tokens of a program's budget that a daemon has allocated for a turn, or that
+    /// the turn has used.
     #[serde(rename = "Taking")]
     Allocation(ProgramKey, AllocationId, u64),
 
-    /// Offline grants are disabled for the program.
+    /// Written by former versions, which granted tokens without the store.
     #[serde(rename = "Closed")]
     GrantsDisabled(ProgramKey),
 
-    /// A claim on the program, with its holder, that the last daemon of the named VM
-    /// remembered.
+    /// Written by former versions, which granted tokens without the store.
     Claim(ProgramKey, Incarnation, String),
 }
 
@@ -95,22 +95,45 @@
 
 /// Builds the record of an allocation, and its decoded content.
 pub fn allocation(program: ProgramKey, id: AllocationId, tokens: u64) -> (Record, StoredRecord) {
-    let key = key(&format!("taking/{program}/{}/{}", id.daemon, id.made_at.0));
+    let key = allocation_key(&program, &id);
     let allocation = StoredRecord::Allocation(program, id, tokens);
     (allocation.with_key(key), allocation)
 }
 
-/// Builds the record that disables offline grants of a program, and its decoded content.
-pub fn grants_disabled(program: ProgramKey) -> (Record, StoredRecord) {
-    let key = key(&format!("closed/{program}"));
-    let disabled = StoredRecord::GrantsDisabled(program);
-    (disabled.with_key(key), disabled)
+/// Builds the records that settle an allocation, and the decoded content of the first one.
+///
+/// It has a key of its own, so that it stays if the allocation is appended once more by a late
+/// call; the second record deletes the allocation. They must be appended by one call.
+pub fn settlement(settlement: &Settlement) -> (Vec<Record>, StoredRecord) {
+    let Settlement { program, id, .. } = settlement;
+    let key = key(&format!("settled/{program}/{}/{}", id.daemon, id.made_at.0));
+    let deletion = Record {
+        key: allocation_key(program, id),
+        value: None,
+    };
+    let settled = settled(settlement);
+    (vec![settled.with_key(key), deletion], settled)
 }
 
-/// Builds the record of a claim that the daemon of a VM hands to the VM's next daemon.
-pub fn claim(program: ProgramKey, holder: Incarnation, vm: &str) -> Record {
-    let key = key(&format!("claim/{vm}/{program}"));
-    StoredRecord::Claim(program, holder, vm.to_owned()).with_key(key)
+/// Builds the record that settles the allocation of a stored turn beside the turn's own record.
+pub fn turn_use(id: &RequestId, settlement: &Settlement) -> Record {
+    settled(settlement).with_key(use_key(id))
+}
+
+/// Key of the record that settles the allocation of a turn beside the turn's own record.
+pub fn use_key(id: &RequestId) -> String {
+    key(&format!("use/{id}"))
+}
+
+/// Content of a record that settles an allocation.
+fn settled(settlement: &Settlement) -> StoredRecord {
+    let Settlement { program, id, used } = settlement.clone();
+    StoredRecord::Allocation(program, id, used)
+}
+
+/// Key of the record of an allocation.
+fn allocation_key(program: &ProgramKey, id: &AllocationId) -> String {
+    key(&format!("taking/{program}/{}/{}", id.daemon, id.made_at.0))
 }
 
 /// Derives a record key that is valid in URL paths from a name that may contain text
--- a/kingcupspan/src/gateway/turn_storage.rs
+++ b/kingcupspan/src/gateway/turn_storage.rs
@@ -7,23 +7,21 @@
 
 use std::sync::Arc;
 
-use kingcupspan_core::gateway::{call::RequestId, history::Turn};
-
-use crate::gateway::{backlog::Backlog, partitions::Partitions};
+use crate::gateway::{
+    backlog::Backlog,
+    partitions::{Partitions, TurnToStore},
+};
 
 /// Stores a turn; returns once every daemon can look it up, also after a restart of all.
-pub async fn store_turn(
-    backlog: &Arc<Backlog>,
-    partitions: &Partitions,
-    id: &RequestId,
-    turn: Arc<Turn>,
-) {
-    let mut turns = partitions.turns_to_renew(&turn);
-    turns.push((id.clone(), turn));
-    let stored: Vec<_> = turns
-        .into_iter()
-        .map(|(id, turn)| backlog.enqueue(id, turn))
-        .collect();
+pub async fn store_turn(backlog: &Arc<Backlog>, partitions: &Partitions, turn: TurnToStore) {
+    let renewed = partitions.turns_to_renew(&turn.turn);
+    let renewed = renewed.into_iter().map(|(id, turn)| TurnToStore {
+        id,
+        turn,
+        settlement: None,
+    });
+    let turns = renewed.chain([turn]);
+    let stored: Vec<_> = turns.map(|turn| backlog.enqueue(turn)).collect();
     for turn in stored {
         // Receiving fails only if the backlog is gone, which happens when the process exits.
         if turn.recv().await.is_err() {
--- a/kingcupspan/tests/gateway/durable_turns.rs
+++ b/kingcupspan/tests/gateway/durable_turns.rs
@@ -54,8 +54,14 @@
         StoreBehavior::DropsResponses,
     ] {
         let mut fleet = Fleet::start("gateway-kill-in-outage", 3, 4_000).await;
-        fleet.store.set_behavior(behavior);
+        fleet.engine.set_behavior(EndpointBehavior::Stream {
+            events: 2,
+            pause: Duration::from_millis(300),
+        });
         let answer = start_turn(&fleet, 0, "t1");
+        // The turn has its tokens and runs when the outage begins.
+        task::sleep(Duration::from_millis(200)).await;
+        fleet.store.set_behavior(behavior);
         task::sleep(CALLER_PATIENCE).await;
         kill_all_and_restart(&mut fleet).await;
         let (response, _) = answer.await;
--- a/kingcupspan_core/src/gateway/allocation.rs
+++ b/kingcupspan_core/src/gateway/allocation.rs
@@ -1,26 +1,33 @@
 //! Token budgets of programs, shared by daemons through allocations in the store.
 //!
-//! Before a daemon lets a turn run, it allocates tokens of the program's budget to
-//! itself by a record in the store. The allocation is valid if it fits into the limit
-//! together with all allocations that were read up to its own record. The last valid
-//! allocation has seen all others, so valid allocations never exceed the limit, even
-//! if records are lost, late or repeated. Daemons hand unused tokens to each other
-//! directly; that does not change the sum of all allocations.
+//! Before a daemon lets a turn run, it allocates the tokens that the turn may use by a record
+//! in the store. The allocation is valid if it fits into the limit together with all
+//! allocations that were read up to its own record. The last valid allocation has seen all
+//! others, so valid allocations never exceed the limit, even if records are lost, late or
+//! repeated.
 //!
-//! While the store is unreachable, a daemon may grant itself some of a program's
-//! tokens and record them later. Allocations leave room for these offline grants until
-//! every daemon has agreed to make no more of them, so the limit holds regardless of
-//! which daemon has read which record.
-
-use std::collections::{BTreeMap, HashMap};
+//! A second record settles the allocation after the turn: it tells how many tokens the turn has
+//! used, and the others are free again. So a daemon holds no tokens besides those of its turns
+//! in flight. If it is killed, only these turns count with all the tokens that they might have
+//! used; nobody knows how many they did use. A turn that is kept carries the settlement in the
+//! same call, so that whoever continues it knows what it has used.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    gateway::{call::ProgramKey, grant::Incarnation},
+    gateway::{call::ProgramKey, incarnation::Incarnation},
     id::{MonoMs, WallMs},
 };
 
+/// Age from which on an allocation of a daemon that does not respond counts as used: turns have
+/// ended long before, and clocks of VMs differ by less.
+const UNSETTLED_MAX: Duration = Duration::from_secs(15);
+
 /// Identifier of an allocation within a program.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AllocationId {
@@ -34,49 +41,52 @@
     pub made_at: WallMs,
 }
 
+/// Number of tokens of an allocation that its turn has used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settlement {
+    /// Program of the turn.
+    pub program: ProgramKey,
+
+    /// The allocation.
+    pub id: AllocationId,
+
+    /// Tokens used.
+    pub used: u64,
+}
+
 /// The allocations of all programs, as read from the store so far.
 #[derive(Debug, Clone, Default)]
 pub struct Allocations {
     programs: HashMap<ProgramKey, Program>,
 }
 
+/// Allocations of one daemon of a program's tokens, by the time at which they were made.
+pub type DaemonAllocations = BTreeMap<WallMs, u64>;
+
 /// The allocations of one program.
 #[derive(Debug, Clone, Default)]
 struct Program {
-    /// Tokens of each allocation.
-    allocations: BTreeMap<AllocationId, u64>,
-
-    /// Whether the store holds the record that disables offline grants.
-    grants_disabled: bool,
+    /// Allocations of each daemon.
+    daemons: BTreeMap<Incarnation, DaemonAllocations>,
 
     /// Time at which a record of the program was last read.
     last_read: MonoMs,
 }
 
 impl Allocations {
-    /// Applies an allocation record read at `now`.
+    /// Applies a record of an allocation, read at `now`.
     ///
-    /// A later record of the same allocation replaces its amount.
+    /// Of several records of an allocation the one with the fewest tokens counts, regardless of
+    /// their order: an allocation is made with all tokens and settled with fewer, and the call
+    /// that made it may be executed once more after it was settled.
     pub fn apply(&mut self, program: &ProgramKey, id: AllocationId, tokens: u64, now: MonoMs) {
         let program = self.programs.entry(program.clone()).or_default();
-        program.allocations.insert(id, tokens);
-        program.last_read = now;
-    }
-
-    /// Applies a record, read at `now`, that disables offline grants of a program.
-    pub fn disable_offline_grants(&mut self, program: &ProgramKey, now: MonoMs) {
-        let program = self.programs.entry(program.clone()).or_default();
-        program.grants_disabled = true;
+        let daemon = program.daemons.entry(id.daemon).or_default();
+        let allocated = daemon.entry(id.made_at).or_insert(tokens);
+        *allocated = tokens.min(*allocated);
         program.last_read = now;
     }
 
-    /// Whether a record that disables offline grants of a program was read.
-    pub fn grants_disabled(&self, program: &ProgramKey) -> bool {
-        self.programs
-            .get(program)
-            .is_some_and(|p| p.grants_disabled)
-    }
-
     /// Removes programs of which no record was read since the time that `before` returns.
     pub fn expire(&mut self, before: impl Fn(&ProgramKey) -> MonoMs) {
         self.programs
@@ -88,26 +98,17 @@
         self.programs.contains_key(program)
     }
 
-    /// Returns the time of a program's first allocation; `None` if no allocation was read.
-    pub fn first_made_at(&self, program: &ProgramKey) -> Option<WallMs> {
-        let program = self.programs.get(program)?;
-        program.allocations.keys().map(|id| id.made_at).min()
-    }
-
     /// Returns the tokens of a program allocated by all daemons together.
     pub fn total_allocated(&self, program: &ProgramKey) -> u64 {
         let program = self.programs.get(program);
-        program.map_or(0, |p| p.allocations.values().sum())
+        let daemons = program.into_iter().flat_map(|p| p.daemons.values());
+        daemons.flat_map(BTreeMap::values).sum()
     }
 
-    /// Returns the tokens of a program allocated by each daemon.
-    pub fn allocated_by_daemon(&self, program: &ProgramKey) -> BTreeMap<Incarnation, u64> {
-        let mut allocated = BTreeMap::new();
+    /// Returns the allocations of a program of each daemon.
+    pub fn by_daemon(&self, program: &ProgramKey) -> BTreeMap<Incarnation, DaemonAllocations> {
         let program = self.programs.get(program);
-        for (id, tokens) in program.into_iter().flat_map(|p| &p.allocations) {
-            *allocated.entry(id.daemon.clone()).or_default() += tokens;
-        }
-        allocated
+        program.map(|p| p.daemons.clone()).unwrap_or_default()
     }
 }
 
@@ -119,148 +120,64 @@
     budget + max_tokens
 }
 
-/// Returns the largest sum of recorded allocations while a daemon may still make
-/// offline grants.
-pub fn recorded_allocation_limit(limit: u64) -> u64 {
-    limit / 2
-}
-
-/// Returns the maximum number of tokens that all daemons together may grant offline.
-pub fn offline_grant_limit(limit: u64) -> u64 {
-    limit - recorded_allocation_limit(limit)
-}
-
-/// Returns the maximum number of tokens that the daemons of a failure domain may grant
-/// offline while it is cut off from all others.
-///
-/// Two such domains together stay within [`offline_grant_limit`].
-pub fn cut_off_grant_limit(limit: u64) -> u64 {
-    offline_grant_limit(limit) / 2
-}
-
-/// Returns the number of tokens of an offline grant when `missing` are needed, the daemon
-/// has granted itself `granted` before and may grant itself `max_grant` in total; `None`
-/// if too few are left.
-///
-/// A grant takes all tokens still permitted, because each grant needs the agreement of
-/// a majority of the daemons.
-pub fn offline_grant_size(missing: u64, granted: u64, max_grant: u64) -> Option<u64> {
-    let permitted = max_grant.saturating_sub(granted);
-    (permitted >= missing).then_some(permitted)
-}
-
-/// Returns the number of tokens to allocate when `missing` are needed and `total` are
-/// already allocated.
-///
-/// The allocation includes tokens for future turns as long as plenty remain for other
-/// daemons, and for this daemon after a restart, which loses the tokens that it
-/// allocated in advance.
-pub fn allocation_size(missing: u64, max_tokens: u64, total: u64, limit: u64) -> u64 {
-    let two_turns_ahead = missing + 2 * max_tokens;
-    let one_turn_ahead = missing + max_tokens;
-    if total + two_turns_ahead <= recorded_allocation_limit(limit) / 4 {
-        return two_turns_ahead;
-    }
-    if total + one_turn_ahead <= recorded_allocation_limit(limit) / 2 {
-        return one_turn_ahead;
-    }
-    missing
-}
+/// What a daemon that has allocated tokens of a program says about its turns in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HolderState {
+    /// The daemon has reserved these tokens for turns in flight.
+    Reserves(u64),
 
-/// Returns the available tokens above `max_tokens`, which an idle program should give
-/// back, or 0 while a turn is running.
-///
-/// Concurrent turns reserve far more tokens than they use, so a quota is larger than
-/// needed after they have ended. This function does not check how long ago the last
-/// turn was.
-pub fn excess(quota: &LocalQuota, max_tokens: u64) -> u64 {
-    match quota.reserved {
-        0 => quota.available().saturating_sub(max_tokens),
-        _ => 0,
-    }
-}
+    /// The daemon did not respond.
+    Silent,
 
-/// Reduces allocations by `unused` tokens, the last allocation first, and returns the
-/// changed allocations with their new amounts.
-pub fn shrink(
-    allocations: &mut [(AllocationId, u64)],
-    mut unused: u64,
-) -> Vec<(AllocationId, u64)> {
-    let mut changed = Vec::new();
-    for (id, tokens) in allocations.iter_mut().rev() {
-        let returned = unused.min(*tokens);
-        if returned > 0 {
-            *tokens -= returned;
-            unused -= returned;
-            changed.push((id.clone(), *tokens));
-        }
-    }
-    changed
+    /// This run of the daemon has ended, and nobody will settle its allocations.
+    Ended,
 }
 
-/// The tokens of one program's budget that one daemon holds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LocalQuota {
-    /// Tokens from valid allocations and from other daemons, less those handed to other
-    /// daemons.
-    #[serde(rename = "taken")]
-    pub allocated: u64,
-
-    /// Tokens used by turns that have ended.
+/// How the allocated tokens of a program are used, as far as a daemon knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TokenBalance {
+    /// Tokens used by turns that have ended, and all tokens of turns that ended with their
+    /// daemon.
     pub used: u64,
 
-    /// Tokens reserved for turns in flight.
+    /// Tokens reserved for turns in flight, some of which may become free.
     pub reserved: u64,
-}
 
-impl LocalQuota {
-    /// Returns the tokens that are neither used nor reserved.
-    pub fn available(&self) -> u64 {
-        self.allocated.saturating_sub(self.used + self.reserved)
-    }
+    /// Whether daemons that did not respond may have some of the reserved tokens.
+    pub is_uncertain: bool,
 
-    /// Reserves `max_tokens` tokens for a turn, or returns false if fewer are available.
-    pub fn reserve(&mut self, max_tokens: u64) -> bool {
-        let is_enough = self.available() >= max_tokens;
-        if is_enough {
-            self.reserved += max_tokens;
+    /// Whether turns may have used less, since their daemons have ended or did not respond.
+    pub is_estimated: bool,
+}
+
+impl TokenBalance {
+    /// Adds the allocations of one daemon, as read at `now`.
+    pub fn add(&mut self, allocations: &DaemonAllocations, holder: HolderState, now: WallMs) {
+        let allocated: u64 = allocations.values().sum();
+        let reserved = match holder {
+            HolderState::Reserves(tokens) => tokens.min(allocated),
+            HolderState::Silent => recently_allocated(allocations, now),
+            HolderState::Ended => 0,
+        };
+        self.used += allocated - reserved;
+        self.reserved += reserved;
+        self.is_uncertain |= holder == HolderState::Silent && reserved > 0;
+        self.is_estimated |= !matches!(holder, HolderState::Reserves(_));
+    }
+
+    /// Returns whether a budget that lacks tokens for a turn is spent.
+    pub fn budget_state(&self, budget: u64) -> BudgetState {
+        match self.used >= budget || self.reserved == 0 {
+            true => BudgetState::Spent,
+            false => BudgetState::Undetermined,
         }
-        is_enough
-    }
-
-    /// Adds tokens of a valid allocation, of an offline grant or from another daemon.
-    pub fn add(&mut self, tokens: u64) {
-        self.allocated += tokens;
-    }
-
-    /// Removes up to `requested` available tokens from the quota, to hand them to
-    /// another daemon or to give them back, and returns their number.
-    pub fn release(&mut self, requested: u64) -> u64 {
-        let released = self.available().min(requested);
-        self.allocated -= released;
-        released
-    }
-
-    /// Ends a turn that had `max_tokens` tokens reserved and used `used` of them.
-    pub fn settle(&mut self, max_tokens: u64, used: u64) {
-        self.reserved = self.reserved.saturating_sub(max_tokens);
-        self.used += used;
     }
 }
 
-/// What a daemon knows of a program's tokens when it cannot obtain enough of them.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TokenBalance {
-    /// Tokens used by turns that have ended, and all tokens allocated by daemons that
-    /// have ended.
-    pub used: u64,
-
-    /// Tokens reserved for turns in flight, some of which may be given back.
-    pub reserved: u64,
-
-    /// Whether daemons that did not answer may hold further tokens, or tokens are set
-    /// aside for offline grants until all daemons have agreed to make no more.
-    pub is_uncertain: bool,
+/// Returns the tokens of allocations that a turn in flight may have at `now`.
+fn recently_allocated(allocations: &DaemonAllocations, now: WallMs) -> u64 {
+    let since = now.0.saturating_sub(UNSETTLED_MAX.as_millis() as u64);
+    allocations.range(WallMs(since)..).map(|(_, t)| t).sum()
 }
 
 /// State of a budget that lacks tokens for a turn.
@@ -272,12 +189,3 @@
     /// Tokens may become available again.
     Undetermined,
 }
-
-/// Returns whether a budget that lacks tokens for a turn is spent.
-pub fn budget_state(budget: u64, balance: TokenBalance) -> BudgetState {
-    let may_recover = balance.reserved > 0 || balance.is_uncertain;
-    match balance.used >= budget || !may_recover {
-        true => BudgetState::Spent,
-        false => BudgetState::Undetermined,
-    }
-}
