--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -38,7 +38,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Longest pause before a record whose call failed is appended once more.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Longest time for which other daemons wait for the settlements of a program.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
@@ -105,7 +105,11 @@
     clock: Clock,
     partitions: Arc<Partitions>,
     peers: Arc<Peers>,
+
+    /// Time in the id of the last allocation.
     last_allocation: Mutex<WallMs>,
+
+    /// Allocations by program that are not settled in the store yet.
     open: Mutex<HashMap<ProgramKey, OpenAllocations>>,
 
     /// Balances of programs that have spent their budgets, and when that was found.
@@ -140,7 +144,8 @@
                 // Dropping the last reservation settles it without any use.
                 Ok(false) => reservation = Reservation::new(Arc::clone(self), request),
                 Err(ReserveError::StoreUnavailable(_)) if may_wait(request) => {
-                    self.wait_for_store(POLL_INTERVAL).await;
+                    let remaining = request.deadline.saturating_duration_since(Instant::now());
+                    self.wait_for_store(RETRY_DELAY.min(remaining)).await;
                 }
                 Err(e) => return Err(e),
             }
@@ -228,7 +233,7 @@
             log::debug!(program, error = e.to_string().as_str(); "failed to settle tokens; retrying");
             self.wait_for_store(RETRY_DELAY).await;
         }
-        self.close(&settlement.program, &settlement.id);
+        self.forget(&settlement.program, &settlement.id);
     }
 
     /// Settles the allocations of a program whose turns have ended, so that other daemons can
@@ -249,7 +254,7 @@
     }
 
     /// Notes that the turn of an allocation has ended.
-    fn end(&self, program: &ProgramKey, id: &AllocationId) {
+    fn note_ended(&self, program: &ProgramKey, id: &AllocationId) {
         let mut open = self.open.lock();
         let allocation = open.get_mut(program).and_then(|o| o.get_mut(id));
         if let Some(allocation) = allocation {
@@ -257,8 +262,8 @@
         }
     }
 
-    /// Forgets an allocation that is settled or was never made.
-    fn close(&self, program: &ProgramKey, id: &AllocationId) {
+    /// Forgets an allocation that is settled in the store.
+    fn forget(&self, program: &ProgramKey, id: &AllocationId) {
         let mut open = self.open.lock();
         let Some(of_program) = open.get_mut(program) else {
             return;
@@ -271,10 +276,7 @@
 
     /// Waits until the store responds again, for `max` at most.
     async fn wait_for_store(&self, max: Duration) {
-        let timeout = async {
-            task::sleep(max).await;
-        };
-        timeout.or(self.partitions.wait_for_store()).await;
+        task::sleep(max).or(self.partitions.wait_for_store()).await;
     }
 
     /// Waits for allocations to be settled before the process exits.
@@ -316,7 +318,7 @@
     }
 
     /// Notes that an allocation is made for a turn in flight.
-    fn open(&self, program: &ProgramKey, id: &AllocationId, tokens: u64) {
+    fn note_allocation(&self, program: &ProgramKey, id: &AllocationId, tokens: u64) {
         let mut open = self.open.lock();
         let of_program = open.entry(program.clone()).or_default();
         of_program.insert(id.clone(), OpenAllocation::Reserved(tokens));
--- a/kingcupspan/src/gateway/ledger/reservation.rs
+++ b/kingcupspan/src/gateway/ledger/reservation.rs
@@ -59,7 +59,8 @@
     /// Allocates the tokens in the store; may be repeated after a failure.
     pub(super) async fn allocate(&mut self) -> Result<(), StoreFailure> {
         if self.progress == Progress::New {
-            self.ledger.open(&self.program, &self.id, self.max_tokens);
+            let (program, id) = (&self.program, &self.id);
+            self.ledger.note_allocation(program, id, self.max_tokens);
             self.progress = Progress::Requested;
         }
         let partitions = &self.ledger.partitions;
@@ -92,7 +93,7 @@
             Progress::Requested => self.progress = Progress::Settling,
         }
         let ledger = Arc::clone(&self.ledger);
-        ledger.end(&self.program, &self.id);
+        ledger.note_ended(&self.program, &self.id);
         let mut settlement = self.settlement();
         let exceeding = self.used - settlement.used;
         Some(task::spawn(async move {
--- a/kingcupspan/tests/common/process.rs
+++ b/kingcupspan/tests/common/process.rs
@@ -73,7 +73,8 @@
         Self::start(&binary, args, log)
     }
 
-    fn start(binary: &path::Path, args: &[&str], log: &path::Path) -> Self {
+    /// Starts a binary with its output appended to the file `log`.
+    pub fn start(binary: &path::Path, args: &[&str], log: &path::Path) -> Self {
         let log = fs::OpenOptions::new().create(true).append(true).open(log);
         let log = log.expect("the log file can be opened");
         let child = Command::new(binary)
--- a/kingcupspan/tests/soak/fleet.rs
+++ b/kingcupspan/tests/soak/fleet.rs
@@ -1,7 +1,7 @@
 //! Fleet of gateway processes, with relays in front of the store and the endpoints.
 
 use std::{
-    fs, net, path,
+    env, fs, net, path,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,6 +20,9 @@
 /// Port of the store.
 const STORE_PORT: u16 = 9000;
 
+/// Environment variable with the path of another build of `kingcupspan` for every second daemon.
+const FORMER_BUILD_ENV: &str = "KINGCUPSPAN_SOAK_FORMER";
+
 /// Port of the first daemon's relay to the store.
 const STORE_RELAY_PORT: u16 = 9100;
 
@@ -197,7 +200,11 @@
         daemon.is_stopping = false;
         let log = daemon.file.with_extension("log");
         let file = daemon.file.to_str().expect("the path is UTF-8");
-        daemon.process = Some(Process::kingcupspan(&["gateway", "--settings", file], &log));
+        let args = ["gateway", "--settings", file];
+        daemon.process = Some(match env::var_os(FORMER_BUILD_ENV) {
+            Some(former) if i % 2 == 1 => Process::start(path::Path::new(&former), &args, &log),
+            _ => Process::kingcupspan(&args, &log),
+        });
         task::spawn(disable_bootstrap(daemon.file.clone()));
     }
 
--- a/kingcupspan/tests/soak/main.rs
+++ b/kingcupspan/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! the faults and after recovery.
 //!
 //! The environment variable `KINGCUPSPAN_SOAK_SEEDS=FROM..TO` selects the seeds that run after the
-//! regressions; by default only seed 2 does.
+//! regressions; by default only seed 2 does. `KINGCUPSPAN_SOAK_FORMER=BINARY` lets another build run
+//! as every second daemon, as in a rolling upgrade.
 
 #[allow(dead_code)] // Each test binary uses only some of the functions.
 #[path = "../common/process.rs"]
