Count and log calls to the store that are given up, and the age of the configuration

Cause: after a request was refused for want of a route nobody could tell which version the daemon had, when the store last told the newest one, or what its calls to the store cost. The hypotheses of the incident could not be told apart.

Change: calls and bytes by topic, way and outcome; the bytes of a response that is given up are counted as discarded and logged with the call; the log line and a metric show the age of the configuration. No logic changes.

--- a/kingcupspan/src/edge/client.rs
+++ b/kingcupspan/src/edge/client.rs
@@ -269,14 +269,22 @@
     /// Reads the complete body, which may have at most `limit` bytes.
     pub async fn bytes(mut self, limit: usize) -> Result<Vec<u8>, SendError> {
         let mut bytes = Vec::new();
+        self.read_to_end(&mut bytes, limit).await?;
+        Ok(bytes)
+    }
+
+    /// Appends the body, which may have at most `limit` bytes, to `buf`; on an error `buf`
+    /// holds what had been received.
+    pub async fn read_to_end(&mut self, buf: &mut Vec<u8>, limit: usize) -> Result<(), SendError> {
+        let start = buf.len();
         while let Some(chunk) = self.chunk().await? {
-            bytes.extend_from_slice(&chunk);
-            if bytes.len() > limit {
+            buf.extend_from_slice(&chunk);
+            if buf.len() - start > limit {
                 let detail = format!("the body has more than {limit} bytes");
                 return Err(SendError::Lost(self.addr, detail));
             }
         }
-        Ok(bytes)
+        Ok(())
     }
 
     /// Returns the value of a header, the last one if the header is repeated.
--- a/kingcupspan/src/gateway/configuration.rs
+++ b/kingcupspan/src/gateway/configuration.rs
@@ -1,6 +1,9 @@
 //! Keeps the operator's configuration up to date from the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::task;
 use kingcupspan_core::gateway::routing::Configuration;
@@ -21,14 +24,25 @@
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// The active configuration, or `None` until the first one has been read.
+/// The configuration that requests are served with.
 #[derive(Default)]
-pub struct ActiveConfiguration(RwLock<Option<Arc<Configuration>>>);
+pub struct ActiveConfiguration {
+    /// `None` until the first one has been read.
+    configuration: RwLock<Option<Arc<Configuration>>>,
+
+    /// Start of the last read that showed which version is the newest.
+    confirmed_at: RwLock<Option<Instant>>,
+}
 
 impl ActiveConfiguration {
     /// Returns the active configuration.
     pub fn get(&self) -> Option<Arc<Configuration>> {
-        self.0.read().clone()
+        self.configuration.read().clone()
+    }
+
+    /// Time since the store last told which version is the newest; `None` if it never has.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.read().map(|at| at.elapsed())
     }
 
     /// Activates the configuration in a record if its version is higher than the active one.
@@ -47,7 +61,7 @@
                 return;
             }
         };
-        let mut active = self.0.write();
+        let mut active = self.configuration.write();
         let version = received.version;
         if active.as_ref().is_none_or(|c| c.version < version) {
             log::info!(version = version.0; "configuration activated");
@@ -61,6 +75,7 @@
     let mut follower = PartitionCursor::default();
     let mut is_unavailable = false;
     loop {
+        let started_at = Instant::now();
         match follower
             .advance(&store, CONFIGURATION_PARTITION, LONG_POLL_TIMEOUT)
             .await
@@ -70,6 +85,7 @@
                     log::info!("reading the configuration from the store again");
                 }
                 is_unavailable = false;
+                *active.confirmed_at.write() = Some(started_at);
                 changes
                     .records()
                     .iter()
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -6,7 +6,10 @@
     Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Registry, TextEncoder,
 };
 
-use crate::metrics::{opts, register};
+use crate::{
+    gateway::store::Traffic,
+    metrics::{opts, register},
+};
 
 /// Upper bounds of the latency histogram buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 11] = [
@@ -40,11 +43,18 @@
 
     /// Seconds since the store stopped answering; 0 while it is reachable.
     pub store_unreachable_s: IntGauge,
+
+    /// Milliseconds since the store last told which version is the newest.
+    pub configuration_age_ms: IntGauge,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Creates the metrics, which include the counters of the calls to the store.
+    pub fn new(traffic: &Traffic) -> Self {
         let registry = Registry::new();
+        for counters in [&traffic.calls, &traffic.bytes] {
+            register(&registry, Ok(counters.clone()));
+        }
         let counters = |name: &str, help: &str, labels: &[&str]| {
             register(&registry, IntCounterVec::new(opts(name, help), labels))
         };
@@ -74,12 +84,14 @@
             in_flight_requests: gauge("requests_under_way", "Requests under way"),
             configuration_version: gauge("configuration_version", "Version in force"),
             store_unreachable_s: gauge("store_away_seconds", "Time without an answer of the store"),
+            configuration_age_ms: gauge(
+                "configuration_age_milliseconds",
+                "Time since the store last told the newest version",
+            ),
             registry,
         }
     }
-}
 
-impl Metrics {
     /// Counts a finished request and records its duration.
     pub fn record_request(&self, status: u16, reason: &str, duration: Duration) {
         let labels = [&status.to_string(), reason];
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -112,6 +112,7 @@
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
+    let metrics = Metrics::new(store.traffic());
     Arc::new(Gateway {
         configuration,
         endpoints,
@@ -126,7 +127,7 @@
         blocked_requests,
         last_engines: LastEngines::default(),
         domain: settings.domain.clone(),
-        metrics: Metrics::default(),
+        metrics,
         shutdown: Arc::new(Shutdown::default()),
         rotation: AtomicU64::default(),
     })
@@ -207,6 +208,8 @@
     metrics
         .store_unreachable_s
         .set(unreachable_for.as_secs() as i64);
+    let age = gateway.configuration.age().unwrap_or_default();
+    metrics.configuration_age_ms.set(age.as_millis() as i64);
     Response::from(metrics.text())
 }
 
--- a/kingcupspan/src/gateway/store/mod.rs
+++ b/kingcupspan/src/gateway/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod paths;
+mod traffic;
 
 use std::{
     net,
@@ -14,7 +15,8 @@
 use kingcupspan_platform::store::{self, AppendResponse, Batch, Partition, Record, StoreError};
 use parking_lot::Mutex;
 
-use self::health::Health;
+pub use self::traffic::Traffic;
+use self::{health::Health, traffic::Via};
 use crate::{
     edge::client::{Client, ClientRequest, SendError, Timeouts},
     gateway::peers::Peers,
@@ -95,6 +97,9 @@
 
     /// VM of the daemon that last made a call for this one.
     last_proxy: Mutex<Option<String>>,
+
+    /// Counters of calls and bytes.
+    traffic: Traffic,
 }
 
 /// A call to the store.
@@ -121,9 +126,15 @@
             peers,
             health: Health::default(),
             last_proxy: Mutex::default(),
+            traffic: Traffic::default(),
         }
     }
 
+    /// Counters of the calls to the store.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Appends all records or none.
     pub async fn append(
         &self,
@@ -253,8 +264,13 @@
         self.health.is_slow()
     }
 
-    /// Makes a call directly and records whether the store responds.
+    /// Makes a call for this daemon directly and records whether the store responds.
     async fn call_direct(&self, call: &Call) -> Result<Vec<u8>, StoreFailure> {
+        self.call_directly(call, Via::Direct).await
+    }
+
+    /// Makes a call directly and records whether the store responds.
+    async fn call_directly(&self, call: &Call, via: Via) -> Result<Vec<u8>, StoreFailure> {
         let timeouts = Timeouts {
             connect: CONNECT_TIMEOUT.min(call.timeout),
             head: call.timeout,
@@ -265,16 +281,21 @@
             None => ClientRequest::new(Method::Get, self.addr, call.path.clone()),
         };
         let started = Instant::now();
-        let result = self.exchange(out.timeouts(timeouts)).await;
+        let mut body = Vec::new();
+        let status = self.exchange(out.timeouts(timeouts), &mut body).await;
+        let received = body.len();
+        let result = status.and_then(|status| check_status(status, body));
+        self.traffic.record(&call.path, via, received, &result);
         if !call.waits_for_records {
             self.health.record_pace(started.elapsed(), result.is_ok());
         }
         match result.as_ref().err().filter(|e| e.is_outage()) {
             None => self.health.record_response(),
             Some(e) if self.health.has_responded_since(started) => {
-                log::info!(path = call.path.as_str(), error = e.to_string().as_str(); "call to the store failed while other calls succeed");
+                log::info!(path = call.path.as_str(), error = e.to_string().as_str(), received, ms = started.elapsed().as_millis() as u64; "call to the store failed while other calls succeed");
             }
             Some(e) => {
+                log::info!(path = call.path.as_str(), error = e.to_string().as_str(), received, ms = started.elapsed().as_millis() as u64; "call to the store failed");
                 if matches!(e, StoreFailure::NoResponse(_)) {
                     // Other pooled connections may be dead as well.
                     self.client.close_idle_connections(self.addr);
@@ -287,12 +308,12 @@
         result
     }
 
-    /// Sends a request to the store and reads the response.
-    async fn exchange(&self, out: ClientRequest) -> Result<Vec<u8>, StoreFailure> {
-        let reply = self.client.send(out).await?;
-        let status = reply.status;
-        let body = reply.bytes(RESPONSE_MAX_BYTES).await?;
-        check_status(status, body)
+    /// Sends a request to the store, appends the body of the response to `body` and returns
+    /// its status.
+    async fn exchange(&self, out: ClientRequest, body: &mut Vec<u8>) -> Result<u16, StoreFailure> {
+        let mut reply = self.client.send(out).await?;
+        reply.read_to_end(body, RESPONSE_MAX_BYTES).await?;
+        Ok(reply.status)
     }
 }
 
--- a/kingcupspan/src/gateway/store/paths.rs
+++ b/kingcupspan/src/gateway/store/paths.rs
@@ -5,7 +5,7 @@
 use async_std::{future, task};
 use kingcupspan_platform::store::{self, AppendResponse, Partition, Record};
 
-use super::{CALL_TIMEOUT, Call, Store, StoreFailure, check_status};
+use super::{CALL_TIMEOUT, Call, Store, StoreFailure, check_status, traffic::Via};
 use crate::gateway::peers::{Peer, PeerRequest, PeerResponse};
 
 /// Timeout of a read made for a peer, shorter than the timeout of the peer's request.
@@ -79,11 +79,18 @@
         let Ok(PeerResponse::Called(Some((status, body)))) = response else {
             let mut last_proxy = self.last_proxy.lock();
             last_proxy.take_if(|vm| *vm == peer.vm);
+            let failure = Err(StoreFailure::Unreachable);
+            self.traffic
+                .record::<()>(&call.path, Via::Peer, 0, &failure);
             return Err(StoreFailure::Unreachable);
         };
+        let received = body.len();
+        let result = check_status(status, body);
+        self.traffic
+            .record(&call.path, Via::Peer, received, &result);
         *self.last_proxy.lock() = Some(peer.vm.clone());
         self.health.record_peers(true);
-        Ok(check_status(status, body))
+        Ok(result)
     }
 
     /// Makes a call for a peer; `None` if this daemon cannot reach the store either.
@@ -102,7 +109,7 @@
             timeout,
             waits_for_records: false,
         };
-        match self.call_direct(&call).await {
+        match self.call_directly(&call, Via::ForPeer).await {
             Ok(body) => Some((200, body)),
             Err(StoreFailure::Refused(status)) => Some((status, Vec::new())),
             Err(_) => None,
