--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -48,9 +48,20 @@
 impl Fleet {
     /// Starts the simulated services and the daemons, and waits until they are ready.
     pub async fn start(name: &str, daemons: usize, timeout_ms: u64) -> Self {
-        let store_addr = net::SocketAddr::new(process::unique_loopback_address().into(), 9000);
         let store = Arc::new(Store::default());
-        task::spawn(Arc::clone(&store).serve(store_addr));
+        let servers = [Arc::clone(&store)];
+        Self::start_on(name, store, &servers, daemons, timeout_ms).await
+    }
+
+    /// Starts a fleet whose daemons use the given servers of the store in rotation.
+    pub async fn start_on(
+        name: &str,
+        store: Arc<Store>,
+        servers: &[Arc<Store>],
+        daemons: usize,
+        timeout_ms: u64,
+    ) -> Self {
+        let store_addrs: Vec<net::SocketAddr> = servers.iter().map(serve_store).collect();
         store.put(
             "keyed.op",
             "config",
@@ -71,7 +82,12 @@
         for i in 0..daemons {
             let ip = process::unique_loopback_address();
             let vm = format!("vm-{i}");
-            let settings = settings::daemon(&vm, DOMAINS[i % DOMAINS.len()], ip, store_addr);
+            let settings = settings::daemon(
+                &vm,
+                DOMAINS[i % DOMAINS.len()],
+                ip,
+                store_addrs[i % store_addrs.len()],
+            );
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
             fleet.daemons.push(spawn_daemon(&settings_file));
@@ -152,8 +168,7 @@
     /// failures of this server affect only this daemon.
     pub async fn restart_with_own_store_server(&mut self, daemon: usize) -> Arc<Store> {
         let store_server = self.store.with_shared_records();
-        let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 9000);
-        task::spawn(Arc::clone(&store_server).serve(addr));
+        let addr = serve_store(&store_server);
         self.daemons[daemon].kill();
         let settings = fs::read_to_string(&self.settings_files[daemon])
             .expect("the settings file can be read");
@@ -169,6 +184,19 @@
 
     /// Returns how many requests of a type a daemon has received from other daemons.
     pub async fn peer_request_count(&self, daemon: usize, request_type: &str) -> u64 {
+        let label = format!("question=\"{request_type}\"");
+        self.metric(daemon, &label).await
+    }
+
+    /// Returns the version of the configuration that a daemon has activated.
+    pub async fn configuration_version(&self, daemon: usize) -> u64 {
+        self.metric(daemon, "kingcupspan_configuration_version ")
+            .await
+    }
+
+    /// Returns the value of the first metric of a daemon whose line contains `label`, 0 if there
+    /// is none.
+    async fn metric(&self, daemon: usize, label: &str) -> u64 {
         let addr = net::SocketAddr::new(self.addresses[daemon].into(), 7395);
         let request = ClientRequest::new(Method::Get, addr, "/metrics");
         let response = Client::default()
@@ -180,8 +208,8 @@
             .await
             .expect("the metrics can be read");
         let text = String::from_utf8(bytes).expect("the metrics are UTF-8");
-        let label = format!("question=\"{request_type}\"");
-        let line = text.lines().find(|l| l.contains(&label));
+        let mut lines = text.lines().filter(|l| !l.starts_with('#'));
+        let line = lines.find(|l| l.contains(label));
         let count = line.and_then(|l| l.rsplit(' ').next());
         count.map_or(0, |c| c.parse().expect("the metric is a number"))
     }
@@ -214,6 +242,13 @@
     }
 }
 
+/// Serves a store on an address of its own, which is returned.
+fn serve_store(store: &Arc<Store>) -> net::SocketAddr {
+    let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 9000);
+    task::spawn(Arc::clone(store).serve(addr));
+    addr
+}
+
 /// Starts a gateway process.
 fn spawn_daemon(settings_file: &path::Path) -> Process {
     let log = settings_file.with_extension("log");
