Pass configurations on between daemons in place of reading them everywhere

Cause: every daemon read every record of the operator whole, and such a record holds all routes. The store sends reads at one rate for all, so the time of a read is the size of the record times the fleet. Past the timeouts (0.8 s, 2 s with a long poll) each read was given up before its first byte, while the store went on to work on it, and was made again at once: its queue never shrank, it rejected other calls with 503, daemons counted it as lost, and each of these had up to three peers read the record for 150 ms, in vain. A metastable failure: the retries kept up the load that made them fail.

Ages of the configuration grow everywhere together.

Change: daemons ask the store only for the number of records (a response of some 60 bytes). Two daemons in different failure domains read the newest record; all others get the changes since the version that they have, over a tree for each domain (distribution.rs), checked by a digest. A daemon that was not told asks its ancestors and the readers whether they have it before a transfer begins; the store is the last resort, one daemon after another. A large read is made once, on a connection of its own, says nothing about an outage, and ends when a peer has the configuration. Long polls are gone. Routes are sorted by host and prefix, so that changes are found in one pass and a request does not go through all routes.

--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -130,10 +130,7 @@
     let mut follower = PartitionCursor::default();
     let mut is_unreachable = false;
     loop {
-        match follower
-            .advance(&store, ENDPOINTS_PARTITION, Duration::ZERO)
-            .await
-        {
+        match follower.advance(&store, ENDPOINTS_PARTITION).await {
             Ok(changes) => {
                 if is_unreachable {
                     log::info!("reading the endpoint list from the store again");
--- a/kingcupspan/src/gateway/partition_cursor.rs
+++ b/kingcupspan/src/gateway/partition_cursor.rs
@@ -1,10 +1,8 @@
 //! Reads a compacted partition, which retains the newest record of each key.
 
-use std::time::Duration;
-
 use kingcupspan_platform::store::{Partition, Record};
 
-use crate::gateway::store::{Read, Store, StoreFailure};
+use crate::gateway::store::{Read, ResponseSize, Store, StoreFailure};
 
 /// Read position in a partition.
 #[derive(Debug, Default)]
@@ -47,7 +45,7 @@
         self.next_offset = None;
     }
 
-    /// Reads the records after the cursor, waiting up to `wait` for one to be appended.
+    /// Reads the records after the cursor.
     ///
     /// Returns a snapshot on the first read and when records were deleted before they
     /// were read.
@@ -55,14 +53,13 @@
         &mut self,
         store: &Store,
         partition: Partition<'_>,
-        wait: Duration,
     ) -> Result<Changes, StoreFailure> {
         if let Some(offset) = self.next_offset
-            && let Some(records) = self.read_appended(store, partition, offset, wait).await?
+            && let Some(records) = self.read_appended(store, partition, offset).await?
         {
             return Ok(Changes::Appended(records));
         }
-        let newest = store.newest(partition).await?;
+        let newest = store.newest(partition, ResponseSize::Small).await?;
         self.next_offset = Some(newest.end);
         Ok(Changes::Snapshot(newest.records))
     }
@@ -74,12 +71,12 @@
         store: &Store,
         partition: Partition<'_>,
         offset: u64,
-        mut wait: Duration,
     ) -> Result<Option<Vec<Record>>, StoreFailure> {
         let mut next_offset = offset;
         let mut records = Vec::new();
         loop {
-            let Read::Batch(batch) = store.read(partition, next_offset, wait).await? else {
+            let read = store.read(partition, next_offset, ResponseSize::Small);
+            let Read::Batch(batch) = read.await? else {
                 return Ok(None);
             };
             next_offset += batch.len;
@@ -87,7 +84,6 @@
             if batch.len == 0 || next_offset >= batch.end {
                 break;
             }
-            wait = Duration::ZERO;
         }
         self.next_offset = Some(next_offset);
         Ok(Some(records))
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -311,7 +311,7 @@
     ) -> Result<(), StoreFailure> {
         let started_at = self.clock.mono();
         let partition = self.store_partition(id);
-        let advanced = cursor.advance(&self.store, partition, Duration::ZERO);
+        let advanced = cursor.advance(&self.store, partition);
         let changes = advanced.await?;
         changes
             .records()
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -69,6 +69,20 @@
             PeerResponse::Noted
         }
         PeerRequest::Find(ids) => PeerResponse::Found(service.partitions.cached_turns(&ids)),
+        PeerRequest::Configuration { known, after } => {
+            let update = service.configuration.update_since(known, after);
+            PeerResponse::Configuration(update.map(Box::new))
+        }
+        PeerRequest::ConfigurationPosition { newest } => {
+            service.configuration.note_position(newest);
+            PeerResponse::ConfigurationPosition(service.configuration.position())
+        }
+        PeerRequest::ConfigurationChanged { vm, position } => {
+            service
+                .configuration_follower
+                .note_announcement(vm, position);
+            PeerResponse::Noted
+        }
         PeerRequest::Call { path, body } => {
             PeerResponse::Called(service.store.proxy_call(path, body).await)
         }
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -1,13 +1,18 @@
 //! Requests that daemons send to each other, and the responses to them.
 
-use kingcupspan_core::gateway::{
-    call::{ProgramKey, RequestId},
-    crash_tracker::Crash,
-    history::Turn,
-    incarnation::Incarnation,
+use kingcupspan_core::{
+    gateway::{
+        call::{ProgramKey, RequestId},
+        crash_tracker::Crash,
+        history::Turn,
+        incarnation::Incarnation,
+    },
+    id::Version,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::configuration::Update;
+
 /// Purpose for which a daemon asks for the use of a program's tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Purpose {
@@ -92,6 +97,30 @@
         /// Encoded records to append; `None` for a read.
         body: Option<Vec<u8>>,
     },
+
+    /// Asks for a newer configuration.
+    Configuration {
+        /// Version that the sender has.
+        known: Option<Version>,
+
+        /// Number of the operator's records up to which the sender's version is the newest.
+        after: u64,
+    },
+
+    /// Asks up to which of the operator's records the peer has the newest configuration.
+    ConfigurationPosition {
+        /// Number of the operator's records, as far as the sender knows.
+        newest: u64,
+    },
+
+    /// Tells that the sender has a configuration which the recipient may lack.
+    ConfigurationChanged {
+        /// VM of the sender.
+        vm: String,
+
+        /// Number of the operator's records up to which the sender's version is the newest.
+        position: u64,
+    },
 }
 
 impl PeerRequest {
@@ -104,15 +133,28 @@
             Self::Crashed(_) => "crashed",
             Self::Find(_) => "find",
             Self::Call { .. } => "call",
+            Self::Configuration { .. } => "configuration",
+            Self::ConfigurationPosition { .. } => "configuration position",
+            Self::ConfigurationChanged { .. } => "configuration changed",
         }
     }
+
+    /// Whether it does not matter if the peer has been restarted since the member list was read.
+    pub fn suits_any_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Configuration { .. }
+                | Self::ConfigurationPosition { .. }
+                | Self::ConfigurationChanged { .. }
+        )
+    }
 }
 
 /// Response of a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerResponse {
-    /// Acknowledges [`PeerRequest::Hello`], [`PeerRequest::Unclaim`] and
-    /// [`PeerRequest::Crashed`].
+    /// Acknowledges [`PeerRequest::Hello`], [`PeerRequest::Unclaim`], [`PeerRequest::Crashed`]
+    /// and [`PeerRequest::ConfigurationChanged`].
     Noted,
 
     /// Response to [`PeerRequest::Release`].
@@ -146,4 +188,10 @@
     /// Response to [`PeerRequest::Call`]: status and body of the store's response; `None`
     /// if the peer cannot reach the store either.
     Called(Option<(u16, Vec<u8>)>),
+
+    /// Response to [`PeerRequest::Configuration`]; `None` if the peer has no newer one.
+    Configuration(Option<Box<Update>>),
+
+    /// Response to [`PeerRequest::ConfigurationPosition`].
+    ConfigurationPosition(u64),
 }
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -5,12 +5,19 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use async_std::task;
-use kingcupspan_core::gateway::incarnation::Incarnation;
+use event_listener::Event;
+use kingcupspan_core::gateway::{
+    distribution::{self, Member, Place},
+    incarnation::Incarnation,
+};
 use parking_lot::{Mutex, RwLock};
 use rand::seq::SliceRandom;
 
@@ -30,6 +37,9 @@
 /// also the pause between these checks.
 const MONITOR_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a peer that did not respond is passed over as a source of configurations.
+const PASSED_OVER_FOR: Duration = Duration::from_millis(5_000);
+
 /// Maximum number of daemons that are pinged in an unresponsive failure domain.
 const PINGED_MAX: usize = 3;
 
@@ -75,6 +85,12 @@
 
     /// Time of the last response by failure domain.
     last_responses: Mutex<HashMap<String, Instant>>,
+
+    /// Whether the member list has been read.
+    is_listed: AtomicBool,
+
+    /// Notified when the member list has been read for the first time.
+    listed: Event,
 }
 
 impl Peers {
@@ -86,9 +102,57 @@
             members: RwLock::default(),
             unresponsive: Mutex::default(),
             last_responses: Mutex::default(),
+            is_listed: AtomicBool::default(),
+            listed: Event::new(),
         }
     }
 
+    /// Records that the member list has been read.
+    pub fn note_listed(&self) {
+        self.is_listed.store(true, Ordering::SeqCst);
+        self.listed.notify(usize::MAX);
+    }
+
+    /// Waits until the member list has been read.
+    pub async fn wait_until_listed(&self) {
+        loop {
+            let listener = self.listed.listen();
+            if self.is_listed.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    /// The daemon on a VM, if it is in the member list.
+    pub fn by_vm(&self, vm: &str) -> Option<Peer> {
+        self.members.read().get(vm).cloned()
+    }
+
+    /// Place of this daemon in the tree over which configurations are passed on, which
+    /// consists of the daemons that responded lately.
+    pub fn place(&self) -> Place {
+        let local = Member {
+            vm: &self.local.vm,
+            domain: &self.local.domain,
+        };
+        let members = self.members.read();
+        let unresponsive = self.unresponsive.lock();
+        let is_passed_over = |vm: &str| {
+            let at = unresponsive.get(vm);
+            at.is_some_and(|at| at.elapsed() < PASSED_OVER_FOR)
+        };
+        let others = members
+            .values()
+            .filter(|p| p.vm != self.local.vm && !is_passed_over(&p.vm));
+        let others = others.map(|p| Member {
+            vm: &p.vm,
+            domain: &p.domain,
+        });
+        let members: Vec<Member<'_>> = others.chain([local]).collect();
+        distribution::place(&members, local)
+    }
+
     /// The other daemons; those that responded last time come first, and among them
     /// those of other failure domains.
     pub fn others(&self) -> Vec<Peer> {
@@ -203,12 +267,22 @@
         peer: &Peer,
         request: &PeerRequest,
         timeout: Duration,
+    ) -> Result<PeerResponse, PeerError> {
+        self.send_with(peer, request, Timeouts::all(timeout)).await
+    }
+
+    /// Sends a request with timeouts of its own, unless the peer recently did not respond.
+    pub async fn send_with(
+        &self,
+        peer: &Peer,
+        request: &PeerRequest,
+        timeouts: Timeouts,
     ) -> Result<PeerResponse, PeerError> {
         if self.is_in_backoff(peer) {
             return Err(PeerError::Unresponsive);
         }
-        let response = self.exchange(peer, request, timeout).await;
-        let has_responded = matches!(response, Ok(_) | Err(PeerError::Restarted));
+        let response = self.exchange(peer, request, timeouts).await;
+        let has_responded = !matches!(response, Err(PeerError::Send(_)));
         self.record_outcome(peer, has_responded);
         response
     }
@@ -218,16 +292,16 @@
         &self,
         peer: &Peer,
         request: &PeerRequest,
-        timeout: Duration,
+        timeouts: Timeouts,
     ) -> Result<PeerResponse, PeerError> {
         // Messages consist of numbers, strings and bytes, which always encode.
         let body = rmp_serde::to_vec(request).expect("messages encode");
-        let out = ClientRequest::post(peer.addr, "/ask", body).timeouts(Timeouts::all(timeout));
+        let out = ClientRequest::post(peer.addr, "/ask", body).timeouts(timeouts);
         let response = async {
             let reply = self.client.send(out).await?;
             let is_same_run = reply
                 .header(INCARNATION_HEADER)
-                .is_none_or(|i| i == &*peer.incarnation.0);
+                .is_none_or(|i| i == &*peer.incarnation.0 || request.suits_any_run());
             Ok((reply.bytes(RESPONSE_MAX_BYTES).await?, is_same_run))
         };
         let (bytes, is_same_run) = response
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -89,17 +89,19 @@
     let store = Arc::new(Store::new(settings.store.addr, Arc::clone(&peers)));
     task::spawn(Arc::clone(&store).probe_during_outages());
     let membership = Arc::new(Membership::new(Arc::clone(&store), Arc::clone(&peers)));
-    let configuration = Arc::new(ActiveConfiguration::default());
+    let configuration = Arc::new(ActiveConfiguration::new(settings.configuration_timeout));
     let endpoints = Arc::new(Endpoints::new(clock));
     let cache_bytes = (settings.memory_bytes / CACHE_MEMORY_DIVISOR) as usize;
     let partitions = Partitions::new(Arc::clone(&store), &settings.store, cache_bytes, clock);
     let partitions = Arc::new(partitions);
     let connectivity = Connectivity::new(Arc::clone(&store), Arc::clone(&peers));
     let ledger = Ledger::new(Arc::clone(&partitions), Arc::clone(&peers), clock);
-    task::spawn(configuration::follow(
+    let configuration_follower = Arc::new(configuration::Follower::new(
         Arc::clone(&store),
+        Arc::clone(&peers),
         Arc::clone(&configuration),
     ));
+    task::spawn(Arc::clone(&configuration_follower).follow());
     task::spawn(endpoints::follow(
         Arc::clone(&store),
         Arc::clone(&endpoints),
@@ -115,6 +117,7 @@
     let metrics = Metrics::new(store.traffic());
     Arc::new(Gateway {
         configuration,
+        configuration_follower,
         endpoints,
         backlog: Arc::new(Backlog::new(Arc::clone(&partitions))),
         ledger: Arc::new(ledger),
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -24,7 +24,7 @@
     gateway::{
         backlog::Backlog,
         blocked_requests::BlockedRequests,
-        configuration::ActiveConfiguration,
+        configuration::{ActiveConfiguration, Follower},
         connectivity::Connectivity,
         endpoints::Endpoints,
         error_response::{ErrorReason, ErrorResponse},
@@ -62,6 +62,9 @@
     /// The active configuration.
     pub configuration: Arc<ActiveConfiguration>,
 
+    /// Keeps the active configuration up to date.
+    pub configuration_follower: Arc<Follower>,
+
     /// The endpoints listed in the store.
     pub endpoints: Arc<Endpoints>,
 
--- a/kingcupspan/src/gateway/store/mod.rs
+++ b/kingcupspan/src/gateway/store/mod.rs
@@ -25,6 +25,9 @@
 /// Timeout of a call; a slow store responds within 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Timeout until a large response begins, and for each further part of it.
+const LARGE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// Time for which a response shows that the store is available although it rejects
 /// another call: it rejects calls that exceed its rate limit or the queue of one
 /// partition.
@@ -43,7 +46,7 @@
 const LAST_KEY: &str = "~";
 
 /// Maximum size of a response, in bytes.
-const RESPONSE_MAX_BYTES: usize = 8 * 1024 * 1024;
+const RESPONSE_MAX_BYTES: usize = 32 * 1024 * 1024;
 
 /// Error returned when a call to the store fails.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -65,6 +68,16 @@
     Malformed(#[from] StoreError),
 }
 
+/// Size that the response to a call may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseSize {
+    /// Sent within milliseconds unless the store is slow or unreachable.
+    Small,
+
+    /// May take long to send, which does not show that the store is slow or unreachable.
+    Large,
+}
+
 /// Result of a read.
 #[derive(Debug)]
 pub enum Read {
@@ -106,15 +119,9 @@
 struct Call {
     path: String,
 
-    /// Path to use when a peer makes the call, if different: a read by a peer does not
-    /// wait for new records.
-    proxy_path: Option<String>,
-
     body: Option<Vec<u8>>,
     timeout: Duration,
-
-    /// Whether the store may wait for new records before it responds.
-    waits_for_records: bool,
+    size: ResponseSize,
 }
 
 impl Store {
@@ -145,39 +152,41 @@
         Ok(store::decode_append_response(&self.call(call).await?)?)
     }
 
-    /// Reads from `offset`, waiting up to `wait` for a record to be appended.
+    /// Reads from `offset` to the end of the partition or of what fits into a response.
     pub async fn read(
         &self,
         partition: Partition<'_>,
         offset: u64,
-        wait: Duration,
+        size: ResponseSize,
     ) -> Result<Read, StoreFailure> {
-        let call = Call {
-            path: partition.read_path(offset, wait.as_millis() as u64),
-            proxy_path: Some(partition.read_path(offset, 0)),
-            body: None,
-            timeout: CALL_TIMEOUT + wait,
-            waits_for_records: !wait.is_zero(),
-        };
-        let batch = match self.call(call).await {
-            Ok(body) => store::decode_batch(&body)?,
-            Err(StoreFailure::Refused(410)) => return Ok(Read::Trimmed),
-            Err(e) => return Err(e),
-        };
-        if batch.records.is_empty() && self.unreachable_for().is_some() {
-            // A peer made the call, without waiting for records.
-            task::sleep(wait).await;
+        match self.call(Call::read(partition, offset, size)).await {
+            Ok(body) => Ok(Read::Batch(store::decode_batch(&body)?)),
+            Err(StoreFailure::Refused(410)) => Ok(Read::Trimmed),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Returns the number of records that were appended to a partition so far.
+    pub async fn end(&self, partition: Partition<'_>) -> Result<u64, StoreFailure> {
+        let call = Call::newest(partition, Some(LAST_KEY), ResponseSize::Small);
+        match self.call(call).await {
+            Ok(body) => Ok(store::decode_page(&body)?.end),
+            Err(StoreFailure::Refused(404)) => Ok(0),
+            Err(e) => Err(e),
         }
-        Ok(Read::Batch(batch))
     }
 
     /// Lists the newest record of each key; empty if the topic does not exist yet.
-    pub async fn newest(&self, partition: Partition<'_>) -> Result<Newest, StoreFailure> {
+    pub async fn newest(
+        &self,
+        partition: Partition<'_>,
+        size: ResponseSize,
+    ) -> Result<Newest, StoreFailure> {
         let mut newest = Newest::default();
         let mut is_first = true;
         let mut last_key: Option<String> = None;
         loop {
-            let call = Call::newest(partition, last_key.as_deref());
+            let call = Call::newest(partition, last_key.as_deref(), size);
             let body = match self.call(call).await {
                 Err(StoreFailure::Refused(404)) => return Ok(newest),
                 body => body?,
@@ -196,8 +205,12 @@
         }
     }
 
-    /// Makes a call directly, with one retry, or through peers during an outage.
+    /// Makes a call directly, with one retry, or through peers during an outage; a call with a
+    /// large response once and only directly.
     async fn call(&self, call: Call) -> Result<Vec<u8>, StoreFailure> {
+        if call.size == ResponseSize::Large {
+            return self.call_direct(&call).await;
+        }
         let mut result = self.try_direct(&call).await;
         if let Err(failure) = &result
             && failure.is_outage()
@@ -239,7 +252,8 @@
     /// Makes a call whose response has next to no content.
     async fn probe(&self) {
         let topic = store::keyed_topic(PROBED_TOPIC);
-        let call = Call::newest(Partition::new(&topic, 0), Some(LAST_KEY));
+        let partition = Partition::new(&topic, 0);
+        let call = Call::newest(partition, Some(LAST_KEY), ResponseSize::Small);
         // The response ends the outage, whatever it is.
         let _ = self.call_direct(&call).await;
     }
@@ -276,17 +290,20 @@
             head: call.timeout,
             body: call.timeout,
         };
-        let out = match &call.body {
+        let mut out = match &call.body {
             Some(body) => ClientRequest::post(self.addr, call.path.clone(), body.clone()),
             None => ClientRequest::new(Method::Get, self.addr, call.path.clone()),
         };
+        // A connection that went dead while it was idle would look like a store that takes long.
+        out.can_reuse_connection = call.size == ResponseSize::Small;
         let started = Instant::now();
         let mut body = Vec::new();
         let status = self.exchange(out.timeouts(timeouts), &mut body).await;
         let received = body.len();
         let result = status.and_then(|status| check_status(status, body));
         self.traffic.record(&call.path, via, received, &result);
-        if !call.waits_for_records {
+        let is_small = call.size == ResponseSize::Small;
+        if is_small {
             self.health.record_pace(started.elapsed(), result.is_ok());
         }
         match result.as_ref().err().filter(|e| e.is_outage()) {
@@ -296,11 +313,11 @@
             }
             Some(e) => {
                 log::info!(path = call.path.as_str(), error = e.to_string().as_str(), received, ms = started.elapsed().as_millis() as u64; "call to the store failed");
-                if matches!(e, StoreFailure::NoResponse(_)) {
+                if is_small && matches!(e, StoreFailure::NoResponse(_)) {
                     // Other pooled connections may be dead as well.
                     self.client.close_idle_connections(self.addr);
                 }
-                if call.timeout >= CALL_TIMEOUT {
+                if is_small && call.timeout >= CALL_TIMEOUT {
                     self.health.record_outage(e);
                 }
             }
@@ -322,21 +339,39 @@
     fn append(partition: Partition<'_>, records: &[Record]) -> Self {
         Self {
             path: partition.append_path(),
-            proxy_path: None,
             body: Some(store::encode_records(records)),
             timeout: CALL_TIMEOUT,
-            waits_for_records: false,
+            size: ResponseSize::Small,
+        }
+    }
+
+    /// Call that reads records from `offset` on.
+    fn read(partition: Partition<'_>, offset: u64, size: ResponseSize) -> Self {
+        Self {
+            path: partition.read_path(offset),
+            body: None,
+            timeout: size.timeout(),
+            size,
         }
     }
 
     /// Call that lists the newest record of each key behind the key `after`.
-    fn newest(partition: Partition<'_>, after: Option<&str>) -> Self {
+    fn newest(partition: Partition<'_>, after: Option<&str>, size: ResponseSize) -> Self {
         Self {
             path: partition.newest_path(after),
-            proxy_path: None,
             body: None,
-            timeout: CALL_TIMEOUT,
-            waits_for_records: false,
+            timeout: size.timeout(),
+            size,
+        }
+    }
+}
+
+impl ResponseSize {
+    /// Timeout until the response begins, and for each further part of it.
+    fn timeout(self) -> Duration {
+        match self {
+            Self::Small => CALL_TIMEOUT,
+            Self::Large => LARGE_RESPONSE_TIMEOUT,
         }
     }
 }
--- a/kingcupspan/src/gateway/store/paths.rs
+++ b/kingcupspan/src/gateway/store/paths.rs
@@ -5,7 +5,7 @@
 use async_std::{future, task};
 use kingcupspan_platform::store::{self, AppendResponse, Partition, Record};
 
-use super::{CALL_TIMEOUT, Call, Store, StoreFailure, check_status, traffic::Via};
+use super::{CALL_TIMEOUT, Call, ResponseSize, Store, StoreFailure, check_status, traffic::Via};
 use crate::gateway::peers::{Peer, PeerRequest, PeerResponse};
 
 /// Timeout of a read made for a peer, shorter than the timeout of the peer's request.
@@ -72,7 +72,7 @@
         timeout: Duration,
     ) -> Result<Result<Vec<u8>, StoreFailure>, StoreFailure> {
         let request = PeerRequest::Call {
-            path: call.proxy_path.as_ref().unwrap_or(&call.path).clone(),
+            path: call.path.clone(),
             body: call.body.clone(),
         };
         let response = self.peers.send_within(peer, &request, timeout).await;
@@ -104,10 +104,9 @@
         };
         let call = Call {
             path,
-            proxy_path: None,
             body,
             timeout,
-            waits_for_records: false,
+            size: ResponseSize::Small,
         };
         match self.call_directly(&call, Via::ForPeer).await {
             Ok(body) => Some((200, body)),
--- a/kingcupspan_core/src/gateway/routing.rs
+++ b/kingcupspan_core/src/gateway/routing.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
+use super::route_table::{RouteChanges, RouteTable};
 use crate::id::Version;
 
 /// Name of a service, a set of interchangeable endpoints.
@@ -173,7 +174,7 @@
     pub version: Version,
 
     /// All routes.
-    pub routes: Vec<Arc<Route>>,
+    pub routes: RouteTable,
 
     /// All services, by name.
     pub services: BTreeMap<ServiceName, Service>,
@@ -182,13 +183,51 @@
     pub limits: Limits,
 }
 
+/// Changes that turn a configuration into a later one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigurationChanges {
+    /// Version that the changes apply to; 0 for the empty configuration.
+    pub base: Version,
+
+    /// Version after the changes.
+    pub version: Version,
+
+    /// Changes of the routes.
+    pub routes: RouteChanges,
+
+    /// All services after the changes.
+    pub services: BTreeMap<ServiceName, Service>,
+
+    /// Limits after the changes.
+    pub limits: Limits,
+}
+
 impl Configuration {
     /// Returns the route of the host with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.routes
-            .iter()
-            .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.path_prefix))
-            .max_by_key(|r| r.path_prefix.len())
+        self.routes.find(host, path)
+    }
+
+    /// Returns the changes that turn `base` into this configuration.
+    pub fn changes_since(&self, base: &Self) -> ConfigurationChanges {
+        ConfigurationChanges {
+            base: base.version,
+            version: self.version,
+            routes: self.routes.changes_since(&base.routes),
+            services: self.services.clone(),
+            limits: self.limits,
+        }
+    }
+
+    /// Returns the configuration after the changes; `None` if they are changes of another
+    /// version.
+    pub fn with(&self, changes: &ConfigurationChanges) -> Option<Self> {
+        (changes.base == self.version).then(|| Self {
+            version: changes.version,
+            routes: self.routes.with(&changes.routes),
+            services: changes.services.clone(),
+            limits: changes.limits,
+        })
     }
 
     /// Returns the number of tokens in each event of a service's streams.
--- a/kingcupspan_core/tests/gateway/routing.rs
+++ b/kingcupspan_core/tests/gateway/routing.rs
@@ -38,7 +38,8 @@
             route("x", "/a/"),
             route("x", "/a/b/"),
             route("y", "/a/b/c/"),
-        ],
+        ]
+        .into(),
         ..Configuration::default()
     };
     let found = |host, path| configuration.route(host, path).map(|r| r.name.as_str());
