Answer 503 for an unknown route while a newer configuration may exist

What callers saw: 404, which ends a program, from daemons that could not know whether the route exists: the store had not told them of a version for many seconds.

Cause: a daemon took its active configuration for the newest one, however long ago the store had last told it so.

A 404 is then never given for a route that has to be active. Requests on known routes are served as before.

Same class elsewhere: turns have answered 503 where the store can't be read before.

--- a/kingcupspan/src/gateway/error_response.rs
+++ b/kingcupspan/src/gateway/error_response.rs
@@ -48,6 +48,10 @@
     #[display("no configuration")]
     NoConfiguration,
 
+    /// No route matches, but a newer configuration may have one.
+    #[display("configuration outdated")]
+    ConfigurationOutdated,
+
     /// The service has no endpoint that accepts requests.
     #[display("no endpoint")]
     NoEndpoint,
@@ -97,6 +101,7 @@
             Self::BudgetExhausted => 402,
             Self::BudgetReserved
             | Self::NoConfiguration
+            | Self::ConfigurationOutdated
             | Self::TurnUnavailable
             | Self::NoEndpoint
             | Self::CrashesEndpoints
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -163,11 +163,9 @@
             return Err(ErrorReason::NoConfiguration.into());
         };
         let (host, path) = head.host_and_path().ok_or(ErrorReason::MalformedRequest)?;
-        let route = configuration.route(host, path).ok_or_else(|| {
-            let age = self.configuration.age().unwrap_or_default();
-            log::info!(request = info.id.as_ref().map_or("-", |id| &*id.0), version = configuration.version.0, age_ms = age.as_millis() as u64; "no route matches the request");
-            ErrorReason::NoRoute
-        })?;
+        let route = configuration
+            .route(host, path)
+            .ok_or_else(|| self.refuse_without_route(&info, &configuration))?;
         let route = Arc::clone(route);
         let id = info.id.clone().ok_or(ErrorReason::MalformedRequest)?;
         if self
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupspan_core::gateway::{admission, outage};
+use kingcupspan_core::gateway::{admission, call::CallInfo, outage, routing::Configuration};
 
 use super::{Gateway, retry_later};
 use crate::gateway::{
@@ -14,6 +14,23 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 impl Gateway {
+    /// Returns the response to a request that no route matches: the route may exist if a newer
+    /// configuration may.
+    pub(super) fn refuse_without_route(
+        &self,
+        info: &CallInfo,
+        configuration: &Configuration,
+    ) -> ErrorResponse {
+        let id = info.id.as_ref().map_or("-", |id| &*id.0);
+        let age = self.configuration.age().unwrap_or_default();
+        let is_certain = self.configuration.is_certain();
+        log::info!(request = id, version = configuration.version.0, age_ms = age.as_millis() as u64, certain = is_certain; "no route matches the request");
+        match is_certain {
+            true => ErrorReason::NoRoute.into(),
+            false => retry_later(ErrorReason::ConfigurationOutdated),
+        }
+    }
+
     /// Refuses a request that the end of a graceful shutdown might cut; other daemons can serve it.
     pub(super) fn refuse_late_in_shutdown(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         if !self.shutdown.may_cut(ex.deadline) {
--- a/kingcupspan/tests/gateway/outages.rs
+++ b/kingcupspan/tests/gateway/outages.rs
@@ -16,6 +16,9 @@
 /// Pause before a refused turn is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Time within which a configuration has to be active (`config_apply_ms`).
+const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2_000);
+
 /// Sends a turn in the background until it is not refused any more, as often as it is told to
 /// come back.
 fn start_turn(fleet: &Fleet, daemon: usize, turn: Request) -> task::JoinHandle<Response> {
@@ -327,3 +330,19 @@
     task::sleep(Duration::from_millis(1_000)).await;
     assert!(fleet.is_ready(0).await);
 }
+
+// Guards against routes that were added in an outage and are denied by daemons that do not know.
+#[async_std::test]
+async fn route_is_not_denied_by_a_daemon_that_may_lack_a_configuration() {
+    let fleet = Fleet::start("gateway-uncertain", 1, 1_000).await;
+    let request = Request::plain("/unknown/", "unknown");
+    assert_eq!(fleet.send(0, &request).await.status, 404);
+    fleet.store.set_behavior(StoreBehavior::Unavailable);
+    task::sleep(CONFIG_APPLY_TIME).await;
+    let response = fleet.send(0, &request).await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(response.retry_after.is_some());
+    fleet.store.set_behavior(StoreBehavior::Available);
+    task::sleep(CONFIG_APPLY_TIME).await;
+    assert_eq!(fleet.send(0, &request).await.status, 404);
+}
