Keep what a read of a partition has received when it fails in between

Cause: a read of a partition was one call of up to 1 MiB, and several calls counted only together. On a slow store a call of that size never ended within its 0.8 s (150 ms through a peer); it was made again from its first byte, and records that had arrived in the calls before were dropped.

Open: a page of the newest records may have 1 MB and can't be made smaller; for a daemon that the store rejects it does not pass a peer with a link of 30 Mbit/s within 150 ms.

--- a/kingcupspan/src/gateway/configuration/follower.rs
+++ b/kingcupspan/src/gateway/configuration/follower.rs
@@ -20,6 +20,7 @@
 use super::{ActiveConfiguration, Versioned};
 use crate::edge::client::Timeouts;
 use crate::gateway::{
+    partition_cursor::Listing,
     peers::{Peer, PeerError, PeerRequest, PeerResponse, Peers},
     store::{Read, ResponseSize, Store, StoreFailure},
 };
@@ -279,12 +280,13 @@
         if self.read_from(self.active.position()).await? != Content::Deleted {
             return Ok(());
         }
-        let newest = self
-            .store
-            .newest(CONFIGURATION_PARTITION, ResponseSize::Large)
+        let mut listing = Listing::default();
+        listing
+            .complete(&self.store, CONFIGURATION_PARTITION, ResponseSize::Large)
             .await?;
-        self.activate_newer(&newest.records, newest.end);
-        self.active.advance(newest.end);
+        let end = listing.end.unwrap_or_default();
+        self.activate_newer(&listing.records, end);
+        self.active.advance(end);
         Ok(())
     }
 
--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -130,14 +130,20 @@
     let mut follower = PartitionCursor::default();
     let mut is_unreachable = false;
     loop {
-        match follower.advance(&store, ENDPOINTS_PARTITION).await {
-            Ok(changes) => {
+        let mut received = Vec::new();
+        let advanced = follower.advance(&store, ENDPOINTS_PARTITION, |c| received.push(c));
+        let result = advanced.await;
+        if result.is_ok() || !received.is_empty() {
+            // Before the changes: entries that are gone after an outage have a grace period.
+            endpoints.record_read(is_unreachable);
+        }
+        received.iter().for_each(|c| endpoints.apply_changes(c));
+        match result {
+            Ok(()) => {
                 if is_unreachable {
                     log::info!("reading the endpoint list from the store again");
                 }
-                endpoints.record_read(is_unreachable);
                 is_unreachable = false;
-                endpoints.apply_changes(&changes);
                 task::sleep(POLL_INTERVAL).await;
             }
             Err(e) => {
--- a/kingcupspan/src/gateway/membership.rs
+++ b/kingcupspan/src/gateway/membership.rs
@@ -84,8 +84,10 @@
 
     /// Reads the changes of the member list.
     async fn read(&self, cursor: &mut PartitionCursor) -> Result<(), StoreFailure> {
-        let advanced = cursor.advance(&self.store, self.partition());
-        advanced.await?.records().iter().for_each(|r| self.apply(r));
+        let advanced = cursor.advance(&self.store, self.partition(), |changes| {
+            changes.records().iter().for_each(|r| self.apply(r));
+        });
+        advanced.await?;
         self.peers.note_listed();
         Ok(())
     }
--- a/kingcupspan/src/gateway/partition_cursor.rs
+++ b/kingcupspan/src/gateway/partition_cursor.rs
@@ -1,4 +1,7 @@
 //! Reads a compacted partition, which retains the newest record of each key.
+//!
+//! A read that fails in between keeps what it has received, and the next one goes on from there:
+//! a partition that is larger than what passes in time is read in several attempts.
 
 use kingcupspan_platform::store::{Partition, Record};
 
@@ -8,6 +11,9 @@
 #[derive(Debug, Default)]
 pub struct PartitionCursor {
     next_offset: Option<u64>,
+
+    /// Snapshot that is not complete yet.
+    listing: Listing,
 }
 
 /// Records returned by a read.
@@ -29,6 +35,43 @@
     }
 }
 
+/// The newest record of each key, as far as they have been listed.
+#[derive(Debug, Default)]
+pub struct Listing {
+    /// The newest record of each key.
+    pub records: Vec<Record>,
+
+    /// Offset from which a read returns every record that is newer than the list; `None` before
+    /// the first page.
+    pub end: Option<u64>,
+
+    /// Key of the last record of the last page.
+    last_key: Option<String>,
+}
+
+impl Listing {
+    /// Lists the pages that are missing; none if the topic does not exist yet.
+    pub async fn complete(
+        &mut self,
+        store: &Store,
+        partition: Partition<'_>,
+        size: ResponseSize,
+    ) -> Result<(), StoreFailure> {
+        loop {
+            let page = store
+                .page(partition, self.last_key.as_deref(), size)
+                .await?;
+            self.end.get_or_insert(page.end);
+            self.records.extend(page.records);
+            // Without a key to continue behind, the first page would be returned again.
+            self.last_key = page.last_key;
+            if !page.has_more || self.last_key.is_none() {
+                return Ok(());
+            }
+        }
+    }
+}
+
 impl PartitionCursor {
     /// Offset of the next record to read; `None` before the first read.
     pub fn next_offset(&self) -> Option<u64> {
@@ -42,50 +85,57 @@
 
     /// Makes the next read return a snapshot.
     pub fn reset(&mut self) {
-        self.next_offset = None;
+        *self = Self::default();
     }
 
-    /// Reads the records after the cursor.
+    /// Reads the records after the cursor to the end of the partition and passes them to `apply`.
     ///
-    /// Returns a snapshot on the first read and when records were deleted before they
-    /// were read.
+    /// They come as a snapshot on the first read and when records were deleted before they
+    /// were read. Records that were passed on before an error are not read again.
     pub async fn advance(
         &mut self,
         store: &Store,
         partition: Partition<'_>,
-    ) -> Result<Changes, StoreFailure> {
+        mut apply: impl FnMut(Changes),
+    ) -> Result<(), StoreFailure> {
         if let Some(offset) = self.next_offset
-            && let Some(records) = self.read_appended(store, partition, offset).await?
+            && self
+                .read_appended(store, partition, offset, &mut apply)
+                .await?
         {
-            return Ok(Changes::Appended(records));
+            return Ok(());
         }
-        let newest = store.newest(partition, ResponseSize::Small).await?;
-        self.next_offset = Some(newest.end);
-        Ok(Changes::Snapshot(newest.records))
+        self.listing
+            .complete(store, partition, ResponseSize::Small)
+            .await?;
+        let listing = std::mem::take(&mut self.listing);
+        self.next_offset = listing.end;
+        apply(Changes::Snapshot(listing.records));
+        Ok(())
     }
 
     /// Reads the records from `offset` to the end of the partition, in as many calls as their
-    /// size needs; `None` if some of them were deleted.
+    /// size needs; returns false if some of them were deleted.
     async fn read_appended(
         &mut self,
         store: &Store,
         partition: Partition<'_>,
         offset: u64,
-    ) -> Result<Option<Vec<Record>>, StoreFailure> {
+        apply: &mut impl FnMut(Changes),
+    ) -> Result<bool, StoreFailure> {
         let mut next_offset = offset;
-        let mut records = Vec::new();
         loop {
             let read = store.read(partition, next_offset, ResponseSize::Small);
             let Read::Batch(batch) = read.await? else {
-                return Ok(None);
+                return Ok(false);
             };
             next_offset += batch.len;
-            records.extend(batch.records);
-            if batch.len == 0 || next_offset >= batch.end {
-                break;
+            self.next_offset = Some(next_offset);
+            let is_last = batch.len == 0 || next_offset >= batch.end;
+            apply(Changes::Appended(batch.records));
+            if is_last {
+                return Ok(true);
             }
         }
-        self.next_offset = Some(next_offset);
-        Ok(Some(records))
     }
 }
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -311,12 +311,13 @@
     ) -> Result<(), StoreFailure> {
         let started_at = self.clock.mono();
         let partition = self.store_partition(id);
-        let advanced = cursor.advance(&self.store, partition);
-        let changes = advanced.await?;
-        changes
-            .records()
-            .iter()
-            .for_each(|r| self.apply_record(id, r));
+        let advanced = cursor.advance(&self.store, partition, |changes| {
+            changes
+                .records()
+                .iter()
+                .for_each(|r| self.apply_record(id, r));
+        });
+        advanced.await?;
         self.last_reads.lock().insert(id, started_at);
         Ok(())
     }
--- a/kingcupspan/src/gateway/store/mod.rs
+++ b/kingcupspan/src/gateway/store/mod.rs
@@ -12,7 +12,9 @@
 
 use async_std::task;
 use http_types::Method;
-use kingcupspan_platform::store::{self, AppendResponse, Batch, Partition, Record, StoreError};
+use kingcupspan_platform::store::{
+    self, AppendResponse, Batch, Page, Partition, Record, StoreError,
+};
 use parking_lot::Mutex;
 
 pub use self::traffic::Traffic;
@@ -25,6 +27,13 @@
 /// Timeout of a call; a slow store responds within 250 ms.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Maximum size of the records that a read returns, in KiB; they pass the slowest link, and a
+/// peer that proxies the call, within the timeouts.
+const SMALL_READ_MAX_KIB: u32 = 128;
+
+/// The same for reads of records that may be large.
+const LARGE_READ_MAX_KIB: u32 = 1_024;
+
 /// Timeout until a large response begins, and for each further part of it.
 const LARGE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -88,16 +97,6 @@
     Trimmed,
 }
 
-/// Newest record of each key, and the offset at which to continue reading.
-#[derive(Debug, Default)]
-pub struct Newest {
-    /// The newest record of each key.
-    pub records: Vec<Record>,
-
-    /// Offset from which a read returns every record that is newer than the list.
-    pub end: u64,
-}
-
 /// Client of the store.
 ///
 /// A daemon that cannot reach the store has peers proxy its calls. All calls are
@@ -168,40 +167,22 @@
 
     /// Returns the number of records that were appended to a partition so far.
     pub async fn end(&self, partition: Partition<'_>) -> Result<u64, StoreFailure> {
-        let call = Call::newest(partition, Some(LAST_KEY), ResponseSize::Small);
-        match self.call(call).await {
-            Ok(body) => Ok(store::decode_page(&body)?.end),
-            Err(StoreFailure::Refused(404)) => Ok(0),
-            Err(e) => Err(e),
-        }
+        let page = self.page(partition, Some(LAST_KEY), ResponseSize::Small);
+        Ok(page.await?.end)
     }
 
-    /// Lists the newest record of each key; empty if the topic does not exist yet.
-    pub async fn newest(
+    /// Returns a page of the newest record of each key behind the key `after`; an empty one if the
+    /// topic does not exist yet.
+    pub async fn page(
         &self,
         partition: Partition<'_>,
+        after: Option<&str>,
         size: ResponseSize,
-    ) -> Result<Newest, StoreFailure> {
-        let mut newest = Newest::default();
-        let mut is_first = true;
-        let mut last_key: Option<String> = None;
-        loop {
-            let call = Call::newest(partition, last_key.as_deref(), size);
-            let body = match self.call(call).await {
-                Err(StoreFailure::Refused(404)) => return Ok(newest),
-                body => body?,
-            };
-            let page = store::decode_page(&body)?;
-            if is_first {
-                newest.end = page.end;
-            }
-            is_first = false;
-            newest.records.extend(page.records);
-            // Without a key to continue behind, the first page would be returned again.
-            last_key = page.last_key;
-            if !page.has_more || last_key.is_none() {
-                return Ok(newest);
-            }
+    ) -> Result<Page, StoreFailure> {
+        match self.call(Call::newest(partition, after, size)).await {
+            Ok(body) => Ok(store::decode_page(&body)?),
+            Err(StoreFailure::Refused(404)) => Ok(Page::default()),
+            Err(e) => Err(e),
         }
     }
 
@@ -348,7 +329,7 @@
     /// Call that reads records from `offset` on.
     fn read(partition: Partition<'_>, offset: u64, size: ResponseSize) -> Self {
         Self {
-            path: partition.read_path(offset),
+            path: partition.read_path(offset, size.max_kib()),
             body: None,
             timeout: size.timeout(),
             size,
@@ -374,6 +355,14 @@
             Self::Large => LARGE_RESPONSE_TIMEOUT,
         }
     }
+
+    /// Maximum size of the records that a read returns, in KiB, but for a single one.
+    fn max_kib(self) -> u32 {
+        match self {
+            Self::Small => SMALL_READ_MAX_KIB,
+            Self::Large => LARGE_READ_MAX_KIB,
+        }
+    }
 }
 
 impl StoreFailure {
--- a/kingcupspan/tests/gateway/shared_records.rs
+++ b/kingcupspan/tests/gateway/shared_records.rs
@@ -1,6 +1,10 @@
 //! What daemons know of the token allocations in the store while they read it seldom.
 
-use std::{net, sync::Arc, time::Duration};
+use std::{
+    net,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::{net::TcpStream, task};
 use kingcupspan::{
@@ -35,6 +39,7 @@
         has_complete_state: false,
     };
     let store = Arc::new(Store::new(addr, Arc::new(Peers::new(local))));
+    task::spawn(Arc::clone(&store).probe_during_outages());
     let settings = StoreSettings {
         addr,
         partitions: 1,
@@ -56,21 +61,22 @@
     allocated.expect("the store accepts records");
 }
 
-/// Starts a store; returns its address once it listens.
-async fn start_store() -> net::SocketAddr {
+/// Starts a store; returns it and its address once it listens.
+async fn start_store() -> (Arc<store::Store>, net::SocketAddr) {
     let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 9000);
-    task::spawn(Arc::new(store::Store::default()).serve(addr));
+    let store = Arc::new(store::Store::default());
+    task::spawn(Arc::clone(&store).serve(addr));
     while TcpStream::connect(addr).await.is_err() {
         task::sleep(Duration::from_millis(5)).await;
     }
-    addr
+    (store, addr)
 }
 
 // Guards against daemons that take a part of the records for all of them, since a read returns
 // 1 MiB at most, and allocate more than is left.
 #[async_std::test]
 async fn allocations_are_read_to_the_end_whatever_their_size() {
-    let addr = start_store().await;
+    let (_, addr) = start_store().await;
     let (busy, idle) = (partitions("busy", addr), partitions("idle", addr));
     let program = ProgramKey::from("p");
     allocate(&idle, "idle", &program, 20).await;
@@ -89,7 +95,7 @@
 // knew of a program that went on at other daemons.
 #[async_std::test]
 async fn allocations_are_known_until_a_read_shows_that_their_program_has_ended() {
-    let addr = start_store().await;
+    let (_, addr) = start_store().await;
     let (busy, idle) = (partitions("busy", addr), partitions("idle", addr));
     let (program, other) = (ProgramKey::from("p"), ProgramKey::from("q"));
     allocate(&busy, "busy", &program, 100).await;
@@ -107,3 +113,37 @@
     assert!(!idle.has_allocations(&program));
     assert!(idle.has_allocations(&other));
 }
+
+// Guards against reads of a slow store that are given up and begin anew until none ever ends.
+#[async_std::test]
+async fn read_that_fails_in_between_goes_on_where_it_ended() {
+    let (store, addr) = start_store().await;
+    let (busy, idle) = (partitions("busy", addr), partitions("idle", addr));
+    let program = ProgramKey::from("p");
+    allocate(&idle, "idle", &program, 20).await;
+    for number in 0..40 {
+        let large = ProgramKey::from("x".repeat(100_000) + &number.to_string());
+        allocate(&busy, "busy", &large, 1).await;
+    }
+    allocate(&busy, "busy", &program, 300).await;
+    let before = store.read_bytes("keyed.takings");
+    store.set_read_rate(Some(1_000_000));
+    let interrupted = Arc::clone(&store);
+    task::spawn(async move {
+        task::sleep(Duration::from_millis(2_000)).await;
+        interrupted.set_behavior(store::StoreBehavior::Unresponsive);
+        task::sleep(Duration::from_millis(2_500)).await;
+        interrupted.set_behavior(store::StoreBehavior::Available);
+    });
+    let deadline = Instant::now() + Duration::from_secs(12);
+    while idle.refresh_program(&program).await.is_err() {
+        assert!(
+            Instant::now() < deadline,
+            "the partition is not read in time"
+        );
+        task::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(idle.total_allocated(&program), 320);
+    let read = store.read_bytes("keyed.takings") - before;
+    assert!(read < 4_400_000, "{read} bytes were read");
+}
