Keep the engine of a program over its calls of tools

What callers saw: turns that take longer, since the engine processes the whole prompt again.

Cause: the endpoint of each request was remembered for its program, also that of a call of a tool. It is no engine, so the next turn was placed like the first one of a program: at the first engine of the order with room.

Change: only requests that run on a model engine are remembered.

program_stays_at_its_engine_after_a_call_of_a_tool fails on the commit before ("left: (0, 1), right: (0, 0)", one run) and passes.

--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -133,6 +133,12 @@
         history::build_prompt(&self.history, &self.body)
     }
 
+    /// Returns whether the request runs on a model engine.
+    pub fn runs_on_engine(&self) -> bool {
+        let service = self.configuration.services.get(&self.service);
+        service.is_some_and(|s| s.engine.is_some())
+    }
+
     /// Returns whether the answer cannot end without the store, which keeps the turn or the
     /// number of tokens that it used.
     pub fn needs_store(&self) -> bool {
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -57,7 +57,8 @@
                 refused_on: &ex.refused_on,
             };
             ex.last_endpoint = Some(endpoint.id.clone());
-            if let Some(key) = ex.info.placement_key() {
+            // A call of a tool must not replace the engine of its program.
+            if let Some(key) = ex.info.placement_key().filter(|_| ex.runs_on_engine()) {
                 self.last_engines.record(key, &endpoint.id);
             }
             ex.progress = Progress::Sent;
--- a/kingcupspan/tests/gateway/requests.rs
+++ b/kingcupspan/tests/gateway/requests.rs
@@ -1,11 +1,11 @@
 //! Tests of request handling when endpoints fail, refuse requests or are removed.
 
-use std::{net, time::Duration, time::Instant};
+use std::{net, sync::Arc, time::Duration, time::Instant};
 
 use async_std::{future, task};
 use kingcupspan_platform_standin::{
     caller::{self, Request},
-    endpoint::EndpointBehavior,
+    endpoint::{Endpoint, EndpointBehavior},
     settings,
 };
 use serde_json::json;
@@ -387,3 +387,46 @@
         started_at.elapsed()
     );
 }
+
+// Guards against programs that lose the engine with their prompts in its cache with each call of
+// a tool.
+#[async_std::test]
+async fn program_stays_at_its_engine_after_a_call_of_a_tool() {
+    let fleet = Fleet::start("gateway-tool", 1, 2_000).await;
+    let stream = EndpointBehavior::Stream {
+        events: 1,
+        pause: Duration::from_millis(1),
+    };
+    let second = Fleet::start_endpoint(&fleet.store, "llm", "e2", stream);
+    task::sleep(Duration::from_millis(900)).await;
+    let engines = [Arc::clone(&fleet.engine), second];
+    engines.iter().for_each(|e| e.report_load(1, 0, 4));
+    let mut programs = 0;
+    // Until both engines have reported their load.
+    while engines.iter().any(|e| e.executed_requests().is_empty()) {
+        let program = format!("p{programs}");
+        fleet
+            .send(0, &Request::turn(&program, &program, None, 1_000))
+            .await;
+        programs += 1;
+    }
+    let engine_of = |id: &str| {
+        let ran = |e: &Arc<Endpoint>| e.executed_requests().iter().any(|r| r.id == id);
+        engines.iter().position(ran).expect("the turn has run")
+    };
+    let home = engine_of("p0");
+    // Crowded, but not so much that a program moves.
+    engines[home].report_load(5, 0, 4);
+    fleet
+        .send(0, &Request::turn("p0", "t2", Some("p0"), 1_000))
+        .await;
+    let tool = Request {
+        headers: "Kingcupspan-Program-Id: p0\r\nKingcupspan-Session-Id: p0\r\n".to_owned(),
+        ..Request::plain("/safe/", "tool")
+    };
+    assert_eq!(fleet.send(0, &tool).await.status, 200);
+    fleet
+        .send(0, &Request::turn("p0", "t3", Some("t2"), 1_000))
+        .await;
+    assert_eq!((engine_of("t2"), engine_of("t3")), (home, home));
+}
