Keep to the rate limits that endpoints name for all daemons together

Cause: no daemon read Server-Limit. Ruled out: limits that each daemon keeps alone (one request each of 195 is too much, a share is 0.05 a second); health checks and retries as what is too much (daemons send only callers' requests, each send is counted).

Change: the first daemon in the rendezvous order of an endpoint's id reserves the times of its requests (rate_limit.rs), for all others by one small request each. A home that takes over reserves 0.4 of the rate for 8 s. Placement counts the limit as capacity: programs begin at such an engine as seldom as its share of the slots, stay there, and wait up to 0.6 of the target latency; other requests go elsewhere at once, or get 503 with the time at which a place is free. Zero lets one request through every 4 s; negative, infinite and malformed values count as none, as do huge ones.

--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -49,10 +49,11 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store.
-    pub fn new(traffic: &Traffic) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store and of the
+    /// reservations at endpoints.
+    pub fn new(traffic: &Traffic, reservations: &IntCounterVec) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes] {
+        for counters in [&traffic.calls, &traffic.bytes, reservations] {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod blocked_requests;
 pub mod configuration;
 pub mod connectivity;
+pub mod endpoint_limits;
 pub mod endpoints;
 pub mod error_response;
 pub mod exchange;
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -8,6 +8,7 @@
 use crate::{
     edge::server::{self, Exchange},
     gateway::{
+        endpoint_limits::Wish,
         peers::{INCARNATION_HEADER, PeerRequest, PeerResponse, Purpose},
         serve::Gateway,
     },
@@ -69,6 +70,21 @@
             PeerResponse::Noted
         }
         PeerRequest::Find(ids) => PeerResponse::Found(service.partitions.cached_turns(&ids)),
+        PeerRequest::Reserve {
+            endpoint,
+            rate,
+            claim,
+            max_wait_ms,
+            has_former_home,
+        } => {
+            let wish = Wish {
+                rate,
+                claim,
+                max_wait_ms,
+            };
+            let limits = &service.endpoint_limits;
+            PeerResponse::Reserved(limits.reserve_here(endpoint, wish, has_former_home))
+        }
         PeerRequest::Configuration { known, after } => {
             let update = service.configuration.update_since(known, after);
             PeerResponse::Configuration(update.map(Box::new))
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -4,8 +4,10 @@
     gateway::{
         call::{ProgramKey, RequestId},
         crash_tracker::Crash,
+        endpoint::InstanceId,
         history::Turn,
         incarnation::Incarnation,
+        rate_limit::{Claim, RequestRate, Reservation},
     },
     id::Version,
 };
@@ -98,6 +100,24 @@
         body: Option<Vec<u8>>,
     },
 
+    /// Asks the home of an endpoint's rate limit when a request may be sent there.
+    Reserve {
+        /// The endpoint.
+        endpoint: InstanceId,
+
+        /// Rate that the endpoint has named.
+        rate: RequestRate,
+
+        /// What the request would gain there.
+        claim: Claim,
+
+        /// Time for which the request can wait, in milliseconds.
+        max_wait_ms: u64,
+
+        /// Whether another daemon has lately reserved times at the endpoint for the sender.
+        has_former_home: bool,
+    },
+
     /// Asks for a newer configuration.
     Configuration {
         /// Version that the sender has.
@@ -133,6 +153,7 @@
             Self::Crashed(_) => "crashed",
             Self::Find(_) => "find",
             Self::Call { .. } => "call",
+            Self::Reserve { .. } => "reserve",
             Self::Configuration { .. } => "configuration",
             Self::ConfigurationPosition { .. } => "configuration position",
             Self::ConfigurationChanged { .. } => "configuration changed",
@@ -189,6 +210,9 @@
     /// if the peer cannot reach the store either.
     Called(Option<(u16, Vec<u8>)>),
 
+    /// Response to [`PeerRequest::Reserve`].
+    Reserved(Reservation),
+
     /// Response to [`PeerRequest::Configuration`]; `None` if the peer has no newer one.
     Configuration(Option<Box<Update>>),
 
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -14,9 +14,12 @@
 
 use async_std::task;
 use event_listener::Event;
-use kingcupspan_core::gateway::{
-    distribution::{self, Member, Place},
-    incarnation::Incarnation,
+use kingcupspan_core::{
+    gateway::{
+        distribution::{self, Member, Place},
+        incarnation::Incarnation,
+    },
+    rendezvous,
 };
 use parking_lot::{Mutex, RwLock};
 use rand::seq::SliceRandom;
@@ -124,6 +127,23 @@
         }
     }
 
+    /// Daemons in the rendezvous order of a key, this one included, without those that did not
+    /// respond lately.
+    pub fn ranked(&self, key: &str, max: usize) -> Vec<Peer> {
+        let members = self.members.read();
+        let unresponsive = self.unresponsive.lock();
+        let is_usable = |vm: &&str| {
+            let at = unresponsive.get(*vm);
+            at.is_none_or(|at| at.elapsed() >= PASSED_OVER_FOR)
+        };
+        let others = members.keys().map(String::as_str);
+        let local = (!members.contains_key(&self.local.vm)).then_some(self.local.vm.as_str());
+        let vms = others.chain(local).filter(is_usable);
+        let ranked = rendezvous::ranked(key, vms);
+        let peer = |vm: &str| members.get(vm).unwrap_or(&self.local).clone();
+        ranked.into_iter().take(max).map(peer).collect()
+    }
+
     /// The daemon on a VM, if it is in the member list.
     pub fn by_vm(&self, vm: &str) -> Option<Peer> {
         self.members.read().get(vm).cloned()
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -1,6 +1,7 @@
 //! Starts, runs and stops the gateway daemon.
 
 use std::{
+    collections::BTreeMap,
     io,
     sync::{Arc, atomic::AtomicU64},
     time::Duration,
@@ -19,6 +20,7 @@
         blocked_requests::BlockedRequests,
         configuration::{self, ActiveConfiguration},
         connectivity::Connectivity,
+        endpoint_limits::EndpointLimits,
         endpoints::{self, Endpoints},
         ingress,
         last_engines::LastEngines,
@@ -114,7 +116,8 @@
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
-    let metrics = Metrics::new(store.traffic());
+    let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
+    let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -127,6 +130,7 @@
         membership,
         partitions,
         upstream: Arc::new(Upstream::new(crash_sender)),
+        endpoint_limits,
         blocked_requests,
         last_engines: LastEngines::default(),
         domain: settings.domain.clone(),
@@ -174,6 +178,7 @@
         gateway.upstream.sweep();
         gateway.last_engines.expire();
         gateway.endpoints.expire();
+        gateway.endpoint_limits.expire();
         gateway.blocked_requests.expire();
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
@@ -219,9 +224,14 @@
 /// Returns the state dump in JSON.
 fn dump(gateway: &Gateway) -> Response {
     let endpoints: Vec<_> = gateway.endpoints.all();
+    let limits = gateway.upstream.limits().into_iter();
+    let limits: BTreeMap<String, f64> = limits
+        .map(|(id, rate)| (id.to_string(), rate.per_s()))
+        .collect();
     let state = json!({
         "configuration": gateway.configuration.get(),
         "endpoints": endpoints,
+        "endpoint_limits_per_s": limits,
         "turns_in_memory": gateway.partitions.cached_turn_count(),
         "turns_not_stored": gateway.backlog.unstored_turns(),
         "requests_under_way": gateway.shutdown.in_flight(),
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Processes requests: admission, history, budget, endpoint selection and forwarding.
 
+mod choose;
 mod refuse;
 mod send;
 
@@ -26,6 +27,7 @@
         blocked_requests::BlockedRequests,
         configuration::{ActiveConfiguration, Follower},
         connectivity::Connectivity,
+        endpoint_limits::EndpointLimits,
         endpoints::Endpoints,
         error_response::{ErrorReason, ErrorResponse},
         exchange::{ConnectionPolicy, Exchange, Progress},
@@ -92,6 +94,9 @@
     /// Connections to the endpoints.
     pub upstream: Arc<Upstream>,
 
+    /// Rate limits that endpoints have named.
+    pub endpoint_limits: EndpointLimits,
+
     /// Requests blocked because they crash endpoints.
     pub blocked_requests: Arc<BlockedRequests>,
 
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -1,15 +1,8 @@
 //! Sends a request to endpoints, one after another while that is safe.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::time::Duration;
 
-use kingcupspan_core::gateway::{
-    crash_tracker::Fingerprint,
-    endpoint::{Endpoint, InstanceId},
-    placement,
-};
+use kingcupspan_core::gateway::{crash_tracker::Fingerprint, endpoint::InstanceId};
 
 use super::{Failure, Gateway};
 use crate::gateway::{
@@ -38,13 +31,12 @@
         let body = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
         loop {
-            let endpoint = self
-                .choose_endpoint(ex, &tried)
-                .ok_or(match *possible_runs {
-                    0 => ErrorReason::NoEndpoint,
-                    // The request may have run, so the error must not promise that it has not.
-                    _ => ErrorReason::NoOutcome,
-                })?;
+            let chosen = self.choose_endpoint(ex, &tried).await;
+            let endpoint = chosen.map_err(|response| match *possible_runs {
+                0 => response,
+                // The request may have run, so the error must not promise that it has not.
+                _ => ErrorReason::NoOutcome.into(),
+            })?;
             let request_guard = self.upstream.track_request(&endpoint.id);
             let outgoing = OutgoingRequest {
                 method: &ex.head.method,
@@ -114,28 +106,6 @@
             }
         }
     }
-
-    /// Chooses the endpoint for a request; endpoints in `tried` come last.
-    fn choose_endpoint(&self, ex: &Exchange, tried: &[InstanceId]) -> Option<Arc<Endpoint>> {
-        let ready = self.endpoints.ready(&ex.service);
-        let candidates = self.upstream.candidates(ready);
-        let engine = ex
-            .configuration
-            .services
-            .get(&ex.service)
-            .and_then(|s| s.engine);
-        let chosen = match (engine, ex.info.placement_key()) {
-            (Some(_), Some(key)) => {
-                let last = self.last_engines.get(key);
-                placement::choose_engine(&candidates, key, last.as_ref(), tried)
-            }
-            _ => {
-                let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
-                placement::choose_service_endpoint(&candidates, &self.domain, rotation, tried)
-            }
-        };
-        chosen.map(|i| Arc::clone(&candidates[i].endpoint))
-    }
 }
 
 /// Returns the outcome of sending a request, as labelled in the metrics.
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -2,13 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use kingcupspan_core::gateway::{call::RequestId, crash_tracker::Fingerprint, placement::Load};
+use kingcupspan_core::gateway::{
+    call::RequestId, crash_tracker::Fingerprint, placement::Load, rate_limit::RequestRate,
+};
 
 use crate::http::conn::Conn;
 
 /// How long the load reported by an endpoint is used.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Weight of the last request in the mean time that requests take.
+const DURATION_WEIGHT: f64 = 0.03;
+
 /// Identifies a connection to an endpoint among all that this daemon has opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionId(pub(super) u64);
@@ -46,6 +51,12 @@
     /// Whether the endpoint failed and has not accepted a connection since.
     pub(super) is_suspect: bool,
 
+    /// Rate limit that the endpoint named in its last response.
+    pub(super) limit: Option<RequestRate>,
+
+    /// Time that requests took lately, in seconds; `None` if none has ended.
+    pub(super) duration_s: Option<f64>,
+
     /// Requests without a complete response since the last attempt to reconnect.
     pub(super) unanswered: Vec<SentRequest>,
 }
@@ -79,8 +90,9 @@
         Some(self.idle.remove(position))
     }
 
-    /// Returns the load, adding requests sent since the last report.
-    pub(super) fn load(&self, now: Instant) -> Load {
+    /// Returns the load, adding requests sent since the last report; a request of the service
+    /// takes `duration_s` seconds in the mean.
+    pub(super) fn load(&self, now: Instant, duration_s: f64) -> Load {
         let is_fresh = |r: &LoadReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
         let reported = self.reported.filter(is_fresh);
         Load {
@@ -90,6 +102,14 @@
                 load.saturating_sub(r.in_flight)
             }),
             is_failing: self.is_suspect,
+            limited_concurrency: self.limit.map(|l| l.concurrency(duration_s)),
         }
     }
+
+    /// Records how long a request took.
+    pub(super) fn record_duration(&mut self, elapsed: Duration) {
+        let duration_s = elapsed.as_secs_f64();
+        let mean = self.duration_s.unwrap_or(duration_s);
+        self.duration_s = Some(mean + DURATION_WEIGHT * (duration_s - mean));
+    }
 }
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -19,6 +19,7 @@
     crash_tracker::{Crash, Fingerprint},
     endpoint::{Endpoint, InstanceId},
     placement::{Candidate, Load},
+    rate_limit::RequestRate,
 };
 use kingcupspan_platform::headers::{self, HeaderLookup, ResponseInfo};
 use parking_lot::Mutex;
@@ -49,6 +50,9 @@
 /// Maximum number of attempts to reconnect to a failed endpoint.
 const MAX_PROBES: usize = 100;
 
+/// Assumed time that a request takes before one has ended, in seconds.
+const DEFAULT_DURATION_S: f64 = 0.2;
+
 /// Largest body of a late response to another request that is skipped, in bytes.
 const UNRELATED_BODY_MAX_BYTES: usize = 1024 * 1024;
 
@@ -117,12 +121,14 @@
 pub struct RequestGuard {
     upstream: Arc<Upstream>,
     id: InstanceId,
+    sent_at: Instant,
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         if let Some(state) = self.upstream.states.lock().get_mut(&self.id) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            state.record_duration(self.sent_at.elapsed());
         }
     }
 }
@@ -141,7 +147,11 @@
     pub fn candidates(&self, endpoints: Vec<Arc<Endpoint>>) -> Vec<Candidate> {
         let now = Instant::now();
         let states = self.states.lock();
-        let load = |id: &InstanceId| states.get(id).map_or_else(Load::default, |s| s.load(now));
+        let duration_s = mean_duration_s(&states, &endpoints);
+        let load = |id: &InstanceId| {
+            let state = states.get(id);
+            state.map_or_else(Load::default, |s| s.load(now, duration_s))
+        };
         endpoints
             .into_iter()
             .map(|endpoint| Candidate {
@@ -157,15 +167,29 @@
         RequestGuard {
             upstream: Arc::clone(self),
             id: id.clone(),
+            sent_at: Instant::now(),
         }
     }
 
+    /// Rate limit that an endpoint has named in its last response to this daemon.
+    pub fn limit(&self, id: &InstanceId) -> Option<RequestRate> {
+        self.states.lock().get(id).and_then(|s| s.limit)
+    }
+
+    /// Rate limits of all endpoints that have named one in their last response.
+    pub fn limits(&self) -> Vec<(InstanceId, RequestRate)> {
+        let states = self.states.lock();
+        let limited = states.iter().filter_map(|(id, s)| Some((id, s.limit?)));
+        limited.map(|(id, limit)| (id.clone(), limit)).collect()
+    }
+
     /// Removes expired idle connections, and the state of endpoints that are not in use.
     pub fn sweep(&self) {
         let now = Instant::now();
         self.states.lock().retain(|_, state| {
             state.idle.retain(|i| i.expires_at > now);
-            state.in_flight > 0 || state.is_suspect || !state.idle.is_empty()
+            let is_in_use = state.in_flight > 0 || !state.idle.is_empty();
+            is_in_use || state.is_suspect || state.limit.is_some()
         });
     }
 
@@ -196,6 +220,7 @@
         };
         let info = headers::response_info(&head.headers, head.status);
         self.record_load(&endpoint.id, &info);
+        self.record_limit(&endpoint.id, &info);
         Ok(EndpointResponse {
             head,
             info,
@@ -321,6 +346,35 @@
         }
     }
 
+    /// Records the rate limit named in a response; a response without one ends the limit.
+    fn record_limit(&self, id: &InstanceId, info: &ResponseInfo) {
+        let limit = match &info.limit {
+            Some(Ok(limit)) => Some(*limit).filter(|l| !l.is_unlimited()),
+            Some(Err(_)) | None => None,
+        };
+        let mut states = self.states.lock();
+        let Some(state) = states.get_mut(id) else {
+            return;
+        };
+        let former = std::mem::replace(&mut state.limit, limit);
+        match (former, limit) {
+            (None, Some(limit)) => {
+                log::info!(endpoint = &*id.0, per_s = limit.per_s(); "endpoint limits the rate of requests; keeping to it with the other daemons");
+            }
+            (Some(_), None) => {
+                let value = info
+                    .limit
+                    .as_ref()
+                    .map_or("none", |l| l.as_ref().map_or("invalid", |_| "huge"));
+                log::info!(endpoint = &*id.0, value; "endpoint no longer limits the rate of requests");
+            }
+            _ => {}
+        }
+        if let Some(Err(e)) = &info.limit {
+            log::debug!(endpoint = &*id.0, error = e.to_string().as_str(); "cannot read the rate limit of the endpoint; treating it as none");
+        }
+    }
+
     /// Returns a connection to the idle connections after a complete response.
     fn return_connection(
         &self,
@@ -336,6 +390,30 @@
     }
 }
 
+/// Mean time that a request takes at the endpoints, in seconds; those without a rate limit count,
+/// if there are any, since they show how long it takes where the load goes.
+fn mean_duration_s(
+    states: &HashMap<InstanceId, EndpointState>,
+    endpoints: &[Arc<Endpoint>],
+) -> f64 {
+    let known: Vec<(bool, f64)> = endpoints
+        .iter()
+        .filter_map(|e| states.get(&e.id))
+        .filter_map(|s| Some((s.limit.is_some(), s.duration_s?)))
+        .collect();
+    let is_any_unlimited = known.iter().any(|(is_limited, _)| !is_limited);
+    let counted = known
+        .iter()
+        .filter(|(is_limited, _)| !(is_any_unlimited && *is_limited));
+    let (sum, count) = counted.fold((0.0, 0.0), |(sum, count), (_, duration_s)| {
+        (sum + duration_s, count + 1.0)
+    });
+    match count > 0.0 {
+        true => sum / count,
+        false => DEFAULT_DURATION_S,
+    }
+}
+
 /// Reads the response head for this request, skipping late responses to other requests.
 async fn read_response_head(
     conn: &mut Conn,
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -38,7 +38,7 @@
     let (requests, slots) = known.fold((0.0, 0.0), |(requests, slots), c| {
         (
             requests + f64::from(c.load.estimate()),
-            slots + f64::from(c.endpoint.slots),
+            slots + f64::from(c.slots()),
         )
     });
     (slots > 0.0).then(|| requests / slots)
--- a/kingcupspan_core/src/gateway/placement.rs
+++ b/kingcupspan_core/src/gateway/placement.rs
@@ -20,6 +20,10 @@
 
     /// Whether connections to the endpoint failed recently.
     pub is_failing: bool,
+
+    /// Number of requests that the endpoint runs at a time under the rate limit that it has named,
+    /// in the mean.
+    pub limited_concurrency: Option<f64>,
 }
 
 impl Load {
@@ -53,9 +57,46 @@
         !tried.contains(&self.endpoint.id) && !self.load.is_failing
     }
 
+    /// Whether the endpoint has named a rate limit.
+    pub fn is_limited(&self) -> bool {
+        self.load.limited_concurrency.is_some()
+    }
+
+    /// Returns the number of requests that the endpoint may run at a time.
+    pub fn slots(&self) -> u32 {
+        let limited = self.load.limited_concurrency.unwrap_or(f64::MAX).ceil();
+        self.endpoint.slots.min(limited as u32).max(1)
+    }
+
+    /// Returns the part of the endpoint's slots that its rate limit leaves, at most 1.
+    fn share(&self) -> f64 {
+        let slots = f64::from(self.endpoint.slots.max(1));
+        let limited = self.load.limited_concurrency.unwrap_or(slots);
+        (limited / slots).clamp(f64::MIN_POSITIVE, 1.0)
+    }
+
+    /// Returns the position of the endpoint in the order of a key, the lowest first.
+    ///
+    /// The endpoint comes first for as many keys as its share of the slots; without rate limits
+    /// this is the rendezvous order.
+    fn position(&self, key: &str) -> f64 {
+        let weight = rendezvous::weight(key, &self.endpoint.id.0);
+        let uniform = (weight as f64 + 1.0) / u64::MAX as f64;
+        -uniform.ln() / self.share()
+    }
+
+    /// Returns the number of requests known to be running and waiting; an endpoint with a rate
+    /// limit has no room to spare, however few there are.
+    fn requests(&self) -> u32 {
+        match self.is_limited() {
+            true => self.load.estimate().max(self.slots()),
+            false => self.load.estimate(),
+        }
+    }
+
     /// Returns the requests per slot in percent; above 100, requests are waiting.
     fn utilization(&self) -> u32 {
-        let percent = u64::from(self.load.estimate()) * 100 / u64::from(self.endpoint.slots.max(1));
+        let percent = u64::from(self.requests()) * 100 / u64::from(self.slots());
         u32::try_from(percent).unwrap_or(u32::MAX)
     }
 
@@ -72,9 +113,10 @@
 /// Chooses an engine for a request of a program and returns its index.
 ///
 /// This is the program's last engine, which has the prompt in its cache, or else the
-/// first engine, in the rendezvous order of the key, whose utilization is at most a
+/// first engine, in the order of the key, whose utilization is at most a
 /// quarter above the mean or at most half. If there is none, it is the least utilized
-/// engine. All daemons use the same rendezvous order.
+/// engine. All daemons use the same order, in which engines with a rate limit come first as
+/// seldom as their limit needs.
 ///
 /// This prevents many programs from hashing to one engine while others are idle, and
 /// bursts from overloading some engines. A program moves away from its engine only when
@@ -88,21 +130,18 @@
 ) -> Option<usize> {
     let mean = mean_utilization(candidates);
     let utilization = |i: &usize| candidates[*i].utilization_or(mean);
-    let mut order: Vec<usize> = (0..candidates.len())
-        .filter(|&i| candidates[i].is_usable(tried))
-        .collect();
-    order
-        .sort_by_key(|&i| std::cmp::Reverse(rendezvous::weight(key, &candidates[i].endpoint.id.0)));
+    let order = order(candidates, key, |c| c.is_usable(tried));
     let is_last = |i: &usize| last == Some(&candidates[*i].endpoint.id);
     let last_engine = order.iter().copied().find(is_last);
-    if let Some(last_engine) = last_engine.filter(|i| utilization(i) < MOVE_THRESHOLD_PERCENT) {
+    // Whether a program stays at an engine with a rate limit depends on its limit alone.
+    let stays = |i: &usize| candidates[*i].is_limited() || utilization(i) < MOVE_THRESHOLD_PERCENT;
+    if let Some(last_engine) = last_engine.filter(stays) {
         return Some(last_engine);
     }
     let max_utilization = mean.saturating_add(mean / 4).max(FULL_PERCENT / 2);
-    let with_room = order
-        .iter()
-        .copied()
-        .find(|i| utilization(i) <= max_utilization);
+    // Whether an engine with a rate limit has room is known when a place there is asked for.
+    let has_room = |i: &usize| candidates[*i].is_limited() || utilization(i) <= max_utilization;
+    let with_room = order.iter().copied().find(has_room);
     let other = with_room.or_else(|| order.iter().copied().min_by_key(utilization));
     match (last_engine, other) {
         (Some(last), Some(other)) if utilization(&other) > utilization(&last) / 2 => Some(last),
@@ -116,18 +155,37 @@
     }
 }
 
-/// Returns the mean utilization of the engines whose load is known, in percent, or 0 if
-/// no load is known.
+/// Returns the mean utilization of the engines without a rate limit whose load is known, in
+/// percent, or 0 if no load is known.
 fn mean_utilization(candidates: &[Candidate]) -> u32 {
     let known: Vec<u64> = candidates
         .iter()
-        .filter(|c| c.load.reported.is_some())
+        .filter(|c| c.load.reported.is_some() && !c.is_limited())
         .map(|c| u64::from(c.utilization()))
         .collect();
     let mean = known.iter().sum::<u64>() / known.len().max(1) as u64;
     u32::try_from(mean).unwrap_or(u32::MAX)
 }
 
+/// Returns the indices of the candidates that pass `filter` in the order of a key.
+fn order(candidates: &[Candidate], key: &str, filter: impl Fn(&Candidate) -> bool) -> Vec<usize> {
+    let mut order: Vec<(f64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| filter(c))
+        .map(|(i, c)| (c.position(key), i))
+        .collect();
+    order.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    order.into_iter().map(|(_, i)| i).collect()
+}
+
+/// Returns the engine that comes first in the order of a key, at which all daemons begin its
+/// programs.
+pub fn first_engine(candidates: &[Candidate], key: &str) -> Option<InstanceId> {
+    let first = order(candidates, key, |_| true).into_iter().next();
+    first.map(|i| candidates[i].endpoint.id.clone())
+}
+
 /// Chooses an endpoint of a plain service, one that runs no model, and returns its index.
 ///
 /// Endpoints that were not tried and are not failing come first. Of these, it is the
@@ -148,7 +206,7 @@
         let tried = tried.contains(&c.endpoint.id);
         let is_other_domain = c.endpoint.domain != domain;
         let requests = c.load.estimate();
-        let is_full = requests >= c.endpoint.slots;
+        let is_full = requests >= c.slots();
         let position = (i as u64 + spread) % n.max(1) as u64;
         match is_full {
             false => (
--- a/kingcupspan_core/tests/gateway/admission.rs
+++ b/kingcupspan_core/tests/gateway/admission.rs
@@ -21,9 +21,8 @@
     Candidate {
         endpoint: Arc::new(endpoint),
         load: Load {
-            in_flight: 0,
             reported,
-            is_failing: false,
+            ..Load::default()
         },
     }
 }
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod history;
 mod outage;
 mod placement;
+mod rate_limit;
 mod route_table;
 mod routing;
 mod turn_queue;
--- a/kingcupspan_core/tests/gateway/placement.rs
+++ b/kingcupspan_core/tests/gateway/placement.rs
@@ -34,6 +34,7 @@
     in_flight: 0,
     reported: None,
     is_failing: true,
+    limited_concurrency: None,
 };
 
 #[test]
@@ -202,3 +203,44 @@
     let utilization = admission::utilization(&candidates).expect("the load is known");
     assert!((0.0..1.0).contains(&utilization), "{utilization}");
 }
+
+/// Load of an endpoint that runs as many requests at a time under its rate limit.
+fn limited(concurrency: f64) -> Load {
+    Load {
+        limited_concurrency: Some(concurrency),
+        ..Load::default()
+    }
+}
+
+// Guards against programs that begin at an engine with a rate limit as often as elsewhere, and
+// then move with all of their prompts.
+#[test]
+fn programs_begin_at_an_engine_with_a_limit_as_seldom_as_it_needs() {
+    let candidates = [
+        candidate("a", "x", Load::default()),
+        candidate("b", "x", Load::default()),
+        candidate("c", "x", limited(0.4)),
+    ];
+    let first = |n: i32| placement::first_engine(&candidates, &format!("program-{n}")).unwrap();
+    let at_limited = (0..4_000).filter(|n| &*first(*n).0 == "c").count();
+    // One tenth of its slots, beside two engines without a limit: 1 in 21.
+    assert!((130..=250).contains(&at_limited), "{at_limited} of 4000");
+    let chosen = |n: i32| {
+        let key = format!("program-{n}");
+        let chosen = placement::choose_engine(&candidates, &key, None, &[]).unwrap();
+        candidates[chosen].endpoint.id.clone()
+    };
+    assert!((0..200).all(|n| chosen(n) == first(n)));
+}
+
+#[test]
+fn program_stays_at_its_engine_with_a_limit_whatever_runs_there() {
+    let mut busy = limited(0.4);
+    busy.reported = Some(4);
+    let candidates = [
+        candidate("a", "x", Load::default()),
+        candidate("c", "x", busy),
+    ];
+    let chosen = placement::choose_engine(&candidates, "program", Some(&"c".into()), &[]);
+    assert_eq!(chosen, Some(1));
+}
