Wait anew for peers when the store returns; split the follower

Traced: all 24 daemons see the store return within 12 ms, and 8 of them read the record at once, 0.125 s each: their wait for peers had passed while the store was away. The load brought the store down for 0.8 s again. With a longer wait where a source reaches the store alone (a first try) 4 of 6 runs failed.

Change: the wait begins anew when the store returns; a daemon with a source that reaches the store waits longer (0.9 s) than one without (0.4 s); an announced configuration does not wait for a call to a silent store.

follower.rs keeps what to do when; transfer.rs and read.rs hold the ways.

--- a/kingcupspan/src/gateway/configuration/follower.rs
+++ b/kingcupspan/src/gateway/configuration/follower.rs
@@ -1,28 +1,20 @@
-//! Follows the operator's configuration in the store and over other daemons.
+//! Follows the operator's configuration: when to look for a newer one, and where to get it.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use async_std::{future, task};
-use futures_lite::FutureExt;
-use kingcupspan_core::gateway::{
-    distribution::{Place, Role},
-    routing::Configuration,
-};
-use kingcupspan_platform::{
-    config,
-    store::{CONFIGURATION_KEY, CONFIGURATION_PARTITION, Record},
-};
+use async_std::future;
+use futures_lite::{FutureExt, future::zip};
+use kingcupspan_core::gateway::distribution::{Place, Role};
+use kingcupspan_platform::store::CONFIGURATION_PARTITION;
 use parking_lot::Mutex;
 
-use super::{ActiveConfiguration, Versioned};
-use crate::edge::client::Timeouts;
+use super::ActiveConfiguration;
 use crate::gateway::{
-    partition_cursor::Listing,
-    peers::{Peer, PeerError, PeerRequest, PeerResponse, Peers},
-    store::{Read, ResponseSize, Store, StoreFailure},
+    peers::Peers,
+    store::{Store, StoreFailure},
 };
 
 /// Interval at which a daemon that reads configurations from the store looks for a new one.
@@ -44,8 +36,12 @@
 /// How long a daemon that has just started waits for the member list.
 const MEMBER_LIST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time after which a daemon that has not got a configuration from its sources reads it.
-const SOURCES_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a daemon reads a configuration itself if no source of it reaches the store.
+const SOURCES_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which a daemon reads a configuration itself although a source reaches the store;
+/// longer than it takes to notice that the store is silent.
+const LIVE_SOURCES_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Time after which a daemon looks again at the store.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -58,37 +54,17 @@
 /// failure domain that does so before it.
 const FALLBACK_DELAY: Duration = Duration::from_millis(50);
 
-/// Timeouts of the transfer of a configuration from a peer that has it.
-const TRANSFER_TIMEOUTS: Timeouts = Timeouts {
-    connect: Duration::from_millis(200),
-    head: Duration::from_millis(1_500),
-    body: Duration::from_millis(1_500),
-};
-
 /// Number of peers that are asked if the sources and the store cannot be reached.
 const OTHER_PEERS: usize = 3;
 
 /// Keeps the active configuration up to date.
 pub struct Follower {
-    store: Arc<Store>,
-    peers: Arc<Peers>,
-    active: Arc<ActiveConfiguration>,
+    pub(super) store: Arc<Store>,
+    pub(super) peers: Arc<Peers>,
+    pub(super) active: Arc<ActiveConfiguration>,
 
     /// Peer that last told of a configuration.
-    announced_by: Mutex<Option<String>>,
-}
-
-/// What a read of the operator's records found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Content {
-    /// A configuration newer than the active one, which is active now.
-    Newer,
-
-    /// No newer configuration.
-    NotNewer,
-
-    /// Some of the records were deleted.
-    Deleted,
+    pub(super) announced_by: Mutex<Option<String>>,
 }
 
 impl Follower {
@@ -117,19 +93,21 @@
         let mut is_unavailable = false;
         loop {
             let place = self.place();
-            let (looked, ()) =
-                futures_lite::future::zip(self.look(), self.check_source(&place)).await;
-            match looked {
-                Ok(()) if is_unavailable => {
+            // A configuration that is announced does not wait for a store that is silent.
+            let behind = async {
+                self.active.wait_until(ActiveConfiguration::is_behind).await;
+                None
+            };
+            match self.look_around(&place).or(behind).await {
+                Some(Ok(())) if is_unavailable => {
                     is_unavailable = false;
                     log::info!("reading the configuration from the store again");
                 }
-                Ok(()) => {}
-                Err(e) if !is_unavailable => {
+                Some(Err(e)) if !is_unavailable => {
                     is_unavailable = true;
                     log::warn!(error = e.to_string().as_str(); "cannot follow the configuration");
                 }
-                Err(_) => {}
+                _ => {}
             }
             if self.active.is_behind() {
                 self.catch_up().await;
@@ -144,12 +122,18 @@
         self.peers.place(reaches_store)
     }
 
+    /// Asks the store how many records it holds, and checks the nearest source.
+    async fn look_around(&self, place: &Place) -> Option<Result<(), StoreFailure>> {
+        let (looked, ()) = zip(self.look(), self.check_source(place)).await;
+        Some(looked)
+    }
+
     /// Checks that the nearest source responds and reaches the store, so that the places follow
     /// before there is something to pass on.
     async fn check_source(&self, place: &Place) {
         let nearest = place.sources.first();
         if let Some(peer) = nearest.and_then(|vm| self.peers.by_vm(vm)) {
-            self.has_newer(&peer).await;
+            self.ask_position(&peer).await;
         }
     }
 
@@ -188,20 +172,24 @@
 
     /// Gets the newest configuration from peers, or from the store if none of them has it.
     async fn catch_up(&self) {
-        let started_at = Instant::now();
-        while self.active.is_behind() && started_at.elapsed() < CATCH_UP_TIMEOUT {
+        let deadline = Instant::now() + CATCH_UP_TIMEOUT;
+        let mut waits_since = Instant::now();
+        let mut has_live_source = true;
+        while self.active.is_behind() && Instant::now() < deadline {
             let place = self.place();
-            let reads_after = self.read_delay(&place);
-            let remaining = reads_after.saturating_sub(started_at.elapsed());
+            let reads_at = waits_since + self.read_delay(&place, has_live_source);
+            let remaining = reads_at.saturating_duration_since(Instant::now());
             if !remaining.is_zero() {
                 self.fetch_announced(remaining.min(ANNOUNCEMENT_TIMEOUT))
                     .await;
-                self.fetch_from_sources(&place).await;
+                has_live_source = self.fetch_from_sources(&place).await;
             }
             if self.store.unreachable_for().is_some() {
                 self.fetch_announced(ANNOUNCEMENT_TIMEOUT).await;
                 self.fetch_from_others(OTHER_PEERS, |_| true).await;
-            } else if started_at.elapsed() < reads_after {
+                // All daemons that wait see the store return at the same time.
+                waits_since = Instant::now();
+            } else if Instant::now() < reads_at {
                 // Another daemon of the domain may have it from the store already.
                 let domain = &self.peers.local.domain;
                 self.fetch_from_others(1, |p| p.domain == *domain).await;
@@ -217,195 +205,14 @@
 
     /// Time after which this daemon reads a configuration from the store that it has not got from
     /// a peer. Daemons that read in place of others do so one after another.
-    fn read_delay(&self, place: &Place) -> Duration {
+    fn read_delay(&self, place: &Place, has_live_source: bool) -> Duration {
         let regular = self.peers.regular_place();
         let turn = FALLBACK_DELAY * regular.rank as u32;
         match (regular.role, place.role) {
             (Role::Reader, Role::Reader) => Duration::ZERO,
             (_, Role::Reader) => ANNOUNCEMENT_TIMEOUT + turn,
+            (_, Role::Root | Role::Leaf) if has_live_source => LIVE_SOURCES_TIMEOUT + turn,
             (_, Role::Root | Role::Leaf) => SOURCES_TIMEOUT + turn,
         }
     }
-
-    /// Gets the configuration from the first source that has a newer one.
-    async fn fetch_from_sources(&self, place: &Place) {
-        for vm in &place.sources {
-            if !self.active.is_behind() {
-                return;
-            }
-            if let Some(peer) = self.peers.by_vm(vm)
-                && self.has_newer(&peer).await
-            {
-                self.fetch(&peer).await;
-            }
-        }
-    }
-
-    /// Whether a peer has a newer configuration; one that is behind catches up and announces it.
-    ///
-    /// A transfer that begins in vain, or is given up for lack of a response, would take up
-    /// links that others need.
-    async fn has_newer(&self, peer: &Peer) -> bool {
-        let request = PeerRequest::ConfigurationPosition {
-            newest: self.active.newest_position(),
-        };
-        let Ok(PeerResponse::ConfigurationPosition {
-            position,
-            reaches_store,
-        }) = self.peers.send(peer, &request).await
-        else {
-            return false;
-        };
-        self.peers.note_store_access(&peer.vm, reaches_store);
-        self.active.note_position(position);
-        position > self.active.position()
-    }
-
-    /// Gets the configuration from up to `max` peers drawn at random.
-    async fn fetch_from_others(&self, max: usize, filter: impl Fn(&Peer) -> bool) {
-        for peer in self.peers.sample(max, filter) {
-            if !self.active.is_behind() {
-                return;
-            }
-            if self.has_newer(&peer).await {
-                self.fetch(&peer).await;
-            }
-        }
-    }
-
-    /// Gets the changes from a peer, if it has any.
-    async fn fetch(&self, peer: &Peer) {
-        let request = PeerRequest::Configuration {
-            known: self.active.version(),
-            after: self.active.position(),
-        };
-        let response = self
-            .peers
-            .send_with(peer, &request, TRANSFER_TIMEOUTS)
-            .await;
-        let update = match response {
-            Ok(PeerResponse::Configuration(Some(update))) => update,
-            Ok(_) | Err(PeerError::Unresponsive) => return,
-            Err(e) => {
-                log::info!(vm = peer.vm.as_str(), error = e.to_string().as_str(); "no configuration from the peer");
-                return;
-            }
-        };
-        if let Err(e) = self.active.apply(&update, &peer.vm) {
-            log::error!(vm = peer.vm.as_str(), error = e.to_string().as_str(); "cannot apply the configuration of the peer; asking others");
-        }
-    }
-
-    /// Waits up to `timeout` until a peer announces a configuration, and gets it there.
-    async fn fetch_announced(&self, timeout: Duration) {
-        let is_over = |active: &ActiveConfiguration| {
-            !active.is_behind() || self.announced_by.lock().is_some()
-        };
-        let _ = future::timeout(timeout, self.active.wait_until(is_over)).await;
-        let announced_by = self.announced_by.lock().take();
-        if let Some(peer) = announced_by.and_then(|vm| self.peers.by_vm(&vm)) {
-            self.fetch(&peer).await;
-        }
-    }
-
-    /// Reads the newest configuration from the store; gives up if it comes from a peer first.
-    async fn read_unless_announced(&self) {
-        let read = async {
-            if let Err(e) = self.read().await {
-                log::warn!(error = e.to_string().as_str(); "cannot read the configuration from the store");
-            }
-        };
-        let announced = async {
-            while self.active.is_behind() {
-                self.fetch_announced(LEAF_INTERVAL).await;
-            }
-        };
-        read.or(announced).await;
-    }
-
-    /// Reads the newest configuration from the store.
-    async fn read(&self) -> Result<(), StoreFailure> {
-        let last = self.active.newest_position().saturating_sub(1);
-        if self.read_from(last).await? == Content::Newer {
-            return Ok(());
-        }
-        // The last record is malformed, older or not a configuration; those before it may not be.
-        if self.read_from(self.active.position()).await? != Content::Deleted {
-            return Ok(());
-        }
-        let mut listing = Listing::default();
-        listing
-            .complete(&self.store, CONFIGURATION_PARTITION, ResponseSize::Large)
-            .await?;
-        let end = listing.end.unwrap_or_default();
-        self.activate_newer(&listing.records, end);
-        self.active.advance(end);
-        Ok(())
-    }
-
-    /// Reads all records from `offset` on and activates the newest configuration among them.
-    async fn read_from(&self, offset: u64) -> Result<Content, StoreFailure> {
-        let mut next = offset;
-        let mut content = Content::NotNewer;
-        loop {
-            let read = self
-                .store
-                .read(CONFIGURATION_PARTITION, next, ResponseSize::Large);
-            let Read::Batch(batch) = read.await? else {
-                return Ok(Content::Deleted);
-            };
-            next += batch.len;
-            if self.activate_newer(&batch.records, next) {
-                content = Content::Newer;
-            }
-            if batch.len == 0 || next >= batch.end {
-                break;
-            }
-        }
-        if offset <= self.active.position() {
-            self.active.advance(next);
-        }
-        Ok(content)
-    }
-
-    /// Activates the newest configuration in `records`, the last of the first `position` records;
-    /// returns whether it is newer than the active one.
-    fn activate_newer(&self, records: &[Record], position: u64) -> bool {
-        let decoded = records.iter().filter_map(decode);
-        let Some(newest) = decoded.max_by_key(|c| c.version) else {
-            return false;
-        };
-        let is_newer = self.active.version().is_none_or(|v| v < newest.version);
-        if is_newer {
-            self.active
-                .activate(Versioned::from(newest), position, "store");
-        }
-        is_newer
-    }
-
-    /// Tells the daemons that get the configuration from this one.
-    fn announce(&self, place: &Place) {
-        let request = PeerRequest::ConfigurationChanged {
-            vm: self.peers.local.vm.clone(),
-            position: self.active.position(),
-        };
-        for peer in place.targets.iter().filter_map(|vm| self.peers.by_vm(vm)) {
-            let (peers, request) = (Arc::clone(&self.peers), request.clone());
-            // A peer that does not get it looks for itself.
-            task::spawn(async move { peers.send(&peer, &request).await });
-        }
-    }
-}
-
-/// Decodes the configuration in a record; `None` if it holds none.
-fn decode(record: &Record) -> Option<Configuration> {
-    let value = record.value.as_deref();
-    let value = value.filter(|_| record.key == CONFIGURATION_KEY)?;
-    match config::decode(value) {
-        Ok(configuration) => Some(configuration),
-        Err(e) => {
-            log::warn!(error = e.to_string().as_str(); "cannot decode the configuration; keeping the active one");
-            None
-        }
-    }
 }
--- a/kingcupspan/src/gateway/configuration/mod.rs
+++ b/kingcupspan/src/gateway/configuration/mod.rs
@@ -5,6 +5,8 @@
 //! only how many records there are, and get the changes from each other.
 
 mod follower;
+mod read;
+mod transfer;
 mod update;
 
 use std::{
