--- a/kingcupspan/src/gateway/configuration/follower.rs
+++ b/kingcupspan/src/gateway/configuration/follower.rs
@@ -98,7 +98,7 @@
                 self.active.wait_until(ActiveConfiguration::is_behind).await;
                 None
             };
-            match self.look_around(&place).or(behind).await {
+            match self.check_store_and_source(&place).or(behind).await {
                 Some(Ok(())) if is_unavailable => {
                     is_unavailable = false;
                     log::info!("reading the configuration from the store again");
@@ -123,7 +123,7 @@
     }
 
     /// Asks the store how many records it holds, and checks the nearest source.
-    async fn look_around(&self, place: &Place) -> Option<Result<(), StoreFailure>> {
+    async fn check_store_and_source(&self, place: &Place) -> Option<Result<(), StoreFailure>> {
         let (looked, ()) = zip(self.look(), self.check_source(place)).await;
         Some(looked)
     }
--- a/kingcupspan/src/gateway/endpoint_limits.rs
+++ b/kingcupspan/src/gateway/endpoint_limits.rs
@@ -53,7 +53,7 @@
 
 /// What a request wants of an endpoint with a rate limit.
 #[derive(Debug, Clone, Copy)]
-pub struct Wish {
+pub struct Demand {
     /// Rate that the endpoint has named.
     pub rate: RequestRate,
 
@@ -100,8 +100,8 @@
 
     /// Reserves a time for a request to an endpoint; returns how long the request has to wait, or
     /// for how long the endpoint takes none.
-    pub async fn reserve(&self, endpoint: &Endpoint, wish: Wish) -> Reservation {
-        let reservation = self.ask_homes(&endpoint.id, wish).await;
+    pub async fn reserve(&self, endpoint: &Endpoint, demand: Demand) -> Reservation {
+        let reservation = self.ask_homes(&endpoint.id, demand).await;
         let outcome = match reservation {
             Some(Reservation::After(0)) => "granted",
             Some(Reservation::After(_)) => "waited",
@@ -112,16 +112,16 @@
         let reservation = reservation.unwrap_or(Reservation::Denied(NO_HOME_DELAY_MS));
         if let Reservation::Denied(wait_ms) = reservation {
             let free_at = Instant::now() + Duration::from_millis(wait_ms);
-            let key = (endpoint.id.clone(), wish.claim);
+            let key = (endpoint.id.clone(), demand.claim);
             self.free_at.lock().insert(key, free_at);
         }
         reservation
     }
 
     /// Asks the home for a time, or the next one if it does not respond; `None` if neither does.
-    async fn ask_homes(&self, endpoint: &InstanceId, wish: Wish) -> Option<Reservation> {
+    async fn ask_homes(&self, endpoint: &InstanceId, demand: Demand) -> Option<Reservation> {
         for home in self.peers.ranked(&endpoint.0, HOMES_ASKED) {
-            if let Some(reservation) = self.ask_home(&home, endpoint, wish).await {
+            if let Some(reservation) = self.ask_home(&home, endpoint, demand).await {
                 self.note_home(endpoint, &home);
                 return Some(reservation);
             }
@@ -134,17 +134,17 @@
         &self,
         home: &Peer,
         endpoint: &InstanceId,
-        wish: Wish,
+        demand: Demand,
     ) -> Option<Reservation> {
         let has_former_home = self.has_former_home(endpoint, home);
         if home.vm == self.peers.local.vm {
-            return Some(self.reserve_here(endpoint.clone(), wish, has_former_home));
+            return Some(self.reserve_here(endpoint.clone(), demand, has_former_home));
         }
         let request = PeerRequest::Reserve {
             endpoint: endpoint.clone(),
-            rate: wish.rate,
-            claim: wish.claim,
-            max_wait_ms: wish.max_wait_ms,
+            rate: demand.rate,
+            claim: demand.claim,
+            max_wait_ms: demand.max_wait_ms,
             has_former_home,
         };
         match self.peers.send(home, &request).await {
@@ -175,7 +175,7 @@
     pub fn reserve_here(
         &self,
         endpoint: InstanceId,
-        wish: Wish,
+        demand: Demand,
         has_former_home: bool,
     ) -> Reservation {
         let now = self.clock.mono();
@@ -184,7 +184,7 @@
         if has_former_home {
             limiter.take_over(now);
         }
-        limiter.reserve(wish.rate, wish.claim, now, wish.max_wait_ms)
+        limiter.reserve(demand.rate, demand.claim, now, demand.max_wait_ms)
     }
 
     /// Forgets limiters, homes and denials that are not in use.
--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Whether an endpoint is listed.
+    pub fn is_listed(&self, id: &InstanceId) -> bool {
+        self.directory.lock().contains(id)
+    }
+
     /// Returns all endpoints, for the state dump.
     pub fn all(&self) -> Vec<Arc<Endpoint>> {
         self.directory.lock().all()
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -8,7 +8,7 @@
 use crate::{
     edge::server::{self, Exchange},
     gateway::{
-        endpoint_limits::Wish,
+        endpoint_limits::Demand,
         peers::{INCARNATION_HEADER, PeerRequest, PeerResponse, Purpose},
         serve::Gateway,
     },
@@ -77,13 +77,13 @@
             max_wait_ms,
             has_former_home,
         } => {
-            let wish = Wish {
+            let demand = Demand {
                 rate,
                 claim,
                 max_wait_ms,
             };
             let limits = &service.endpoint_limits;
-            PeerResponse::Reserved(limits.reserve_here(endpoint, wish, has_former_home))
+            PeerResponse::Reserved(limits.reserve_here(endpoint, demand, has_former_home))
         }
         PeerRequest::Configuration { known, after } => {
             let update = service.configuration.update_since(known, after);
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -175,7 +175,7 @@
 async fn sweep(gateway: Arc<Gateway>) {
     loop {
         task::sleep(SWEEP_INTERVAL).await;
-        gateway.upstream.sweep();
+        gateway.upstream.sweep(|id| gateway.endpoints.is_listed(id));
         gateway.last_engines.expire();
         gateway.endpoints.expire();
         gateway.endpoint_limits.expire();
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -14,7 +14,7 @@
 
 use super::Gateway;
 use crate::gateway::{
-    endpoint_limits::Wish,
+    endpoint_limits::Demand,
     error_response::{ErrorReason, ErrorResponse},
     exchange::Exchange,
 };
@@ -148,12 +148,12 @@
             return Ok(());
         };
         let started_at = Instant::now();
-        let wish = Wish {
+        let demand = Demand {
             rate: limit,
             claim,
             max_wait_ms: max_wait.as_millis() as u64,
         };
-        match self.endpoint_limits.reserve(endpoint, wish).await {
+        match self.endpoint_limits.reserve(endpoint, demand).await {
             Reservation::Denied(ms) => return Err(Duration::from_millis(ms)),
             Reservation::After(0) => {}
             Reservation::After(ms) => task::sleep(Duration::from_millis(ms)).await,
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -183,13 +183,14 @@
         limited.map(|(id, limit)| (id.clone(), limit)).collect()
     }
 
-    /// Removes expired idle connections, and the state of endpoints that are not in use.
-    pub fn sweep(&self) {
+    /// Removes expired idle connections, and the state of endpoints that are not in use; rate
+    /// limits are kept for those that are listed.
+    pub fn sweep(&self, is_listed: impl Fn(&InstanceId) -> bool) {
         let now = Instant::now();
-        self.states.lock().retain(|_, state| {
+        self.states.lock().retain(|id, state| {
             state.idle.retain(|i| i.expires_at > now);
             let is_in_use = state.in_flight > 0 || !state.idle.is_empty();
-            is_in_use || state.is_suspect || state.limit.is_some()
+            is_in_use || state.is_suspect || (state.limit.is_some() && is_listed(id))
         });
     }
 
--- a/kingcupspan_core/src/gateway/endpoint.rs
+++ b/kingcupspan_core/src/gateway/endpoint.rs
@@ -199,6 +199,11 @@
         entry.is_some_and(|e| self.is_usable(e, now))
     }
 
+    /// Whether an endpoint has an entry.
+    pub fn contains(&self, id: &InstanceId) -> bool {
+        self.entries.contains_key(id)
+    }
+
     /// Whether the directory has no entries.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
