Tell a request when to come back if the endpoints that denied it have a place again

A request that all endpoints with a limit had denied got 503 "no endpoint" without a time to come back if the shortest denial had passed meanwhile. Read from the code while the diff was reviewed, not seen in a run. Now the endpoint is asked once more.

--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -86,7 +86,7 @@
                 Err(_) => denied.push(endpoint.id.clone()),
             }
         }
-        self.wait_for_endpoint(ex, &residence).await
+        self.wait_for_endpoint(ex, &residence, &denied).await
     }
 
     /// Where the prompt of a request is, or will be once its program has begun.
@@ -102,16 +102,19 @@
         }
     }
 
-    /// Waits for the endpoint that takes requests again first, if that is soon enough.
+    /// Waits for the endpoint that takes requests again first, if that is soon enough; endpoints in
+    /// `denied` may have done so by now.
     async fn wait_for_endpoint(
         &self,
         ex: &Exchange,
         residence: &Residence,
+        denied: &[InstanceId],
     ) -> Result<Arc<Endpoint>, ErrorResponse> {
         let ready = self.endpoints.ready(&ex.service).into_iter();
         let full_for = |e: &Endpoint| {
             let (claim, _) = residence.claim(ex, &e.id);
-            self.endpoint_limits.full_for(&e.id, claim)
+            let full_for = self.endpoint_limits.full_for(&e.id, claim);
+            full_for.or_else(|| denied.contains(&e.id).then_some(Duration::ZERO))
         };
         let full = ready.filter_map(|e| Some((full_for(&e)?, e)));
         let (delay, endpoint) = full
