--- a/kingcupspan/src/gateway/error_response.rs
+++ b/kingcupspan/src/gateway/error_response.rs
@@ -28,6 +28,14 @@
     #[display("no route")]
     NoRoute,
 
+    /// The request has no key that a workspace holds.
+    #[display("unknown key")]
+    UnknownKey,
+
+    /// The requests of the workspace have reached its limit.
+    #[display("quota reached")]
+    QuotaReached,
+
     /// The previous turn that the request names does not exist.
     #[display("no such turn")]
     UnknownTurn,
@@ -98,7 +106,9 @@
             Self::BodyTooLarge => 413,
             Self::SlowRequest => 408,
             Self::NoRoute | Self::UnknownTurn => 404,
+            Self::UnknownKey => 401,
             Self::BudgetExhausted => 402,
+            Self::QuotaReached => 429,
             Self::BudgetReserved
             | Self::NoConfiguration
             | Self::ConfigurationOutdated
@@ -119,10 +129,12 @@
     fn status_text(self) -> &'static str {
         match self.status() {
             400 => "Bad Request",
+            401 => "Unauthorized",
             402 => "Payment Required",
             404 => "Not Found",
             408 => "Request Timeout",
             413 => "Content Too Large",
+            429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
             502 => "Bad Gateway",
             503 => "Service Unavailable",
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
     endpoint::InstanceId,
     history::{self, Turn},
     routing::{Configuration, Route, ServiceName},
+    workspace::Workspace,
 };
 
 use crate::{
@@ -42,6 +43,10 @@
     /// The configuration that was active when the request was admitted.
     pub configuration: Arc<Configuration>,
 
+    /// Workspace of the caller; `None` if the configuration has no workspaces, or the route is public
+    /// and the caller has no key.
+    pub workspace: Option<Arc<Workspace>>,
+
     /// The route that matched the request.
     pub route: Arc<Route>,
 
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Processes requests: admission, history, budget, endpoint selection and forwarding.
 
+mod authenticate;
 mod choose;
 mod refuse;
 mod send;
@@ -172,6 +173,7 @@
             .route(host, path)
             .ok_or_else(|| self.refuse_without_route(&info, &configuration))?;
         let route = Arc::clone(route);
+        let workspace = self.authenticate(&head, &info, &configuration, &route)?;
         let id = info.id.clone().ok_or(ErrorReason::MalformedRequest)?;
         if self
             .blocked_requests
@@ -196,6 +198,7 @@
             info,
             id,
             configuration,
+            workspace,
             route,
             service,
             history: Vec::new(),
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -43,6 +43,8 @@
                 target: &ex.head.target,
                 headers: &ex.head.headers,
                 id: &ex.id,
+                workspace: ex.workspace.as_ref().map(|w| &w.name),
+                has_keys: ex.configuration.workspaces.is_some(),
                 fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
                 body: &body,
                 deadline: ex.deadline,
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -20,6 +20,7 @@
     endpoint::{Endpoint, InstanceId},
     placement::{Candidate, Load},
     rate_limit::RequestRate,
+    workspace::WorkspaceName,
 };
 use kingcupspan_platform::headers::{self, HeaderLookup, ResponseInfo};
 use parking_lot::Mutex;
@@ -82,6 +83,12 @@
     /// Identifier of the attempt, chosen by the caller.
     pub id: &'a RequestId,
 
+    /// Workspace of the caller, if it has one.
+    pub workspace: Option<&'a WorkspaceName>,
+
+    /// Whether callers send keys, which must not reach the endpoint.
+    pub has_keys: bool,
+
     /// Fingerprint shared by all attempts of the request, used to attribute crashes.
     pub fingerprint: Fingerprint,
 
@@ -446,13 +453,18 @@
         b" HTTP/1.1\r\n",
     ]);
     for (name, value) in out.headers.end_to_end() {
-        if headers::is_forwarded(name) && !name.eq_ignore_ascii_case("expect") {
+        let is_secret = out.has_keys && headers::is_key(name);
+        if headers::is_forwarded(name) && !is_secret && !name.eq_ignore_ascii_case("expect") {
             push([name.as_bytes(), b": ", value, b"\r\n"]);
         }
     }
     for (name, value) in headers::forward_headers(remaining, &endpoint.id) {
         push([name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
     }
+    if let Some(name) = out.workspace {
+        let (name, value) = headers::workspace_header(name);
+        push([name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    }
     if !out.body.is_empty() || !matches!(out.method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
         let length = out.body.len().to_string();
         push([b"Content-Length", b": ", length.as_bytes(), b"\r\n"]);
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -41,6 +41,9 @@
     /// Address of each daemon.
     pub addresses: Vec<net::Ipv4Addr>,
 
+    /// Key of the requests that find out whether a daemon serves requests.
+    pub probe_key: Option<String>,
+
     /// Settings file of each daemon; its log is written beside it.
     pub settings_files: Vec<path::PathBuf>,
 }
@@ -53,6 +56,17 @@
         Self::start_on(name, store, &servers, daemons, timeout_ms).await
     }
 
+    /// Starts a fleet with a configuration that has workspaces.
+    pub async fn start_with_workspaces(
+        name: &str,
+        daemons: usize,
+        configuration: &serde_json::Value,
+    ) -> Self {
+        let store = Arc::new(Store::default());
+        let servers = [Arc::clone(&store)];
+        Self::start_configured(name, store, &servers, daemons, configuration).await
+    }
+
     /// Starts a fleet whose daemons use the given servers of the store in rotation.
     pub async fn start_on(
         name: &str,
@@ -60,17 +74,25 @@
         servers: &[Arc<Store>],
         daemons: usize,
         timeout_ms: u64,
+    ) -> Self {
+        let configuration = settings::configuration(1, timeout_ms);
+        Self::start_configured(name, store, servers, daemons, &configuration).await
+    }
+
+    /// Starts a fleet with a configuration.
+    async fn start_configured(
+        name: &str,
+        store: Arc<Store>,
+        servers: &[Arc<Store>],
+        daemons: usize,
+        configuration: &serde_json::Value,
     ) -> Self {
         let mut store_addrs: Vec<net::SocketAddr> = Vec::new();
         for (i, server) in servers.iter().enumerate() {
             let same = servers[..i].iter().position(|s| Arc::ptr_eq(s, server));
             store_addrs.push(same.map_or_else(|| serve_store(server), |i| store_addrs[i]));
         }
-        store.put(
-            "keyed.op",
-            "config",
-            Some(&settings::configuration(1, timeout_ms).to_string()),
-        );
+        store.put("keyed.op", "config", Some(&configuration.to_string()));
         let engine = Self::start_endpoint(&store, "llm", "e1", FAST_STREAM);
         let service_endpoints = ["p1", "p2"]
             .map(|id| Self::start_endpoint(&store, "plain", id, EndpointBehavior::Plain));
@@ -81,6 +103,7 @@
             service_endpoints,
             daemons: Vec::new(),
             addresses: Vec::new(),
+            probe_key: settings::first_key(configuration),
             settings_files: Vec::new(),
         };
         for i in 0..daemons {
@@ -149,7 +172,10 @@
 
     /// Returns whether a daemon answers a request to the plain service.
     pub async fn can_serve_requests(&self, daemon: usize) -> bool {
-        let probe = Request::plain("/safe/probe", "probe");
+        let mut probe = Request::plain("/safe/probe", "probe");
+        if let Some(key) = &self.probe_key {
+            probe.headers += &format!("Authorization: Bearer {key}\r\n");
+        }
         self.send(daemon, &probe).await.status == 200
     }
 
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod responses_without_length;
 mod shared_records;
 mod shutdown;
+mod workspaces;
 
 use std::fmt::Write;
 
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -18,3 +18,4 @@
 pub mod route_table;
 pub mod routing;
 pub mod turn_queue;
+pub mod workspace;
--- a/kingcupspan_core/src/gateway/routing.rs
+++ b/kingcupspan_core/src/gateway/routing.rs
@@ -6,7 +6,10 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
-use super::route_table::{RouteChanges, RouteTable};
+use super::{
+    route_table::{RouteChanges, RouteTable},
+    workspace::Workspaces,
+};
 use crate::id::Version;
 
 /// Name of a service, a set of interchangeable endpoints.
@@ -82,6 +85,10 @@
 
     /// How long turns are kept; `None` if requests on the route are not turns.
     pub retention: Option<Duration>,
+
+    /// Whether callers need no key, also where the configuration has workspaces.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 impl Route {
@@ -181,6 +188,10 @@
 
     /// Limits on connections and requests of callers.
     pub limits: Limits,
+
+    /// All workspaces; `None` if callers need no keys.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspaces: Option<Arc<Workspaces>>,
 }
 
 /// Changes that turn a configuration into a later one.
@@ -200,6 +211,10 @@
 
     /// Limits after the changes.
     pub limits: Limits,
+
+    /// All workspaces after the changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspaces: Option<Arc<Workspaces>>,
 }
 
 impl Configuration {
@@ -216,6 +231,7 @@
             routes: self.routes.changes_since(&base.routes),
             services: self.services.clone(),
             limits: self.limits,
+            workspaces: self.workspaces.clone(),
         }
     }
 
@@ -227,6 +243,7 @@
             routes: self.routes.with(&changes.routes),
             services: changes.services.clone(),
             limits: changes.limits,
+            workspaces: changes.workspaces.clone(),
         })
     }
 
--- /dev/null
+++ b/kingcupspan_core/src/gateway/workspace.rs
@@ -0,0 +1,116 @@
+//! Workspaces, to which callers belong, and the keys by which callers prove that they do.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+
+use super::rate_limit::RequestRate;
+use crate::digest::Digest;
+
+/// Separates the name of a workspace from an identifier that a caller has chosen; names of
+/// workspaces do not contain it.
+const SEPARATOR: char = '\n';
+
+/// Name of a workspace.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
+)]
+#[from(forward)]
+pub struct WorkspaceName(pub Arc<str>);
+
+impl WorkspaceName {
+    /// Returns an identifier that no other workspace has, whatever identifiers its callers choose.
+    pub fn qualify(&self, id: &str) -> Arc<str> {
+        format!("{}{SEPARATOR}{id}", self.0).into()
+    }
+}
+
+/// Limit on the requests of a workspace through all daemons together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Requests a second.
+    pub rate: RequestRate,
+
+    /// Requests that may come at once after a pause.
+    pub burst: f64,
+}
+
+/// A workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Name, which endpoints are told.
+    pub name: WorkspaceName,
+
+    /// Digests of the keys of its callers.
+    pub keys: Vec<Digest>,
+
+    /// Rank, which goes before the rank of the route; 0 is the highest.
+    pub priority: u32,
+
+    /// Limit on its requests, if there is one.
+    pub quota: Option<Quota>,
+}
+
+/// All workspaces of a configuration, found by the keys of their callers.
+///
+/// Of several workspaces with one name or one key the last one counts.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "Vec<Arc<Workspace>>", into = "Vec<Arc<Workspace>>")]
+pub struct Workspaces {
+    by_name: BTreeMap<WorkspaceName, Arc<Workspace>>,
+    by_key: HashMap<Digest, Arc<Workspace>>,
+}
+
+impl From<Vec<Arc<Workspace>>> for Workspaces {
+    fn from(workspaces: Vec<Arc<Workspace>>) -> Self {
+        let by_name: BTreeMap<_, _> = workspaces
+            .into_iter()
+            .map(|w| (w.name.clone(), w))
+            .collect();
+        let keys_of = |w: &Arc<Workspace>| {
+            let workspace = Arc::clone(w);
+            w.keys
+                .clone()
+                .into_iter()
+                .map(move |key| (key, Arc::clone(&workspace)))
+        };
+        let by_key = by_name.values().flat_map(keys_of).collect();
+        Self { by_name, by_key }
+    }
+}
+
+impl From<Workspaces> for Vec<Arc<Workspace>> {
+    fn from(workspaces: Workspaces) -> Self {
+        workspaces.by_name.into_values().collect()
+    }
+}
+
+impl PartialEq for Workspaces {
+    fn eq(&self, other: &Self) -> bool {
+        self.by_name == other.by_name
+    }
+}
+
+impl Workspaces {
+    /// Returns the workspace of a caller's key.
+    ///
+    /// The time that this takes tells nothing about other keys, since they are compared by their
+    /// digests.
+    pub fn find(&self, key: &[u8]) -> Option<&Arc<Workspace>> {
+        self.by_key.get(&Digest::of(key))
+    }
+
+    /// Returns the workspace with a name.
+    pub fn get(&self, name: &WorkspaceName) -> Option<&Arc<Workspace>> {
+        self.by_name.get(name)
+    }
+
+    /// All workspaces in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.by_name.values()
+    }
+}
--- a/kingcupspan_core/tests/gateway/route_table.rs
+++ b/kingcupspan_core/tests/gateway/route_table.rs
@@ -26,6 +26,7 @@
         resumable: false,
         keeps_history: false,
         retention: None,
+        is_public: false,
     })
 }
 
--- a/kingcupspan_core/tests/gateway/routing.rs
+++ b/kingcupspan_core/tests/gateway/routing.rs
@@ -28,6 +28,7 @@
         resumable: false,
         keeps_history: false,
         retention: None,
+        is_public: false,
     })
 }
 
