--- a/kingcupspan/src/gateway/group_commit.rs
+++ b/kingcupspan/src/gateway/group_commit.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -48,7 +49,7 @@
     /// Time at which the records are appended by a call of their own.
     due: Instant,
 
-    done: async_channel::Sender<Result<u64, StoreFailure>>,
+    done: async_channel::Sender<Result<Range<u64>, StoreFailure>>,
 }
 
 /// Appends to one partition that wait for a call.
@@ -58,6 +59,9 @@
 
     /// Whether a task appends the records.
     has_task: bool,
+
+    /// Start of the last call.
+    last_call: Option<Instant>,
 }
 
 impl Queue {
@@ -78,6 +82,9 @@
 
     /// Queued records by partition.
     queues: Mutex<HashMap<PartitionId, Queue>>,
+
+    /// Shortest time between the starts of two calls in a partition.
+    spacing: Mutex<Duration>,
 }
 
 impl GroupCommit {
@@ -88,17 +95,23 @@
             topics,
             call_bytes,
             queues: Mutex::default(),
+            spacing: Mutex::default(),
         }
     }
 
+    /// Sets the shortest time between the starts of two calls in a partition.
+    pub fn set_spacing(&self, spacing: Duration) {
+        *self.spacing.lock() = spacing;
+    }
+
     /// Appends all of the records or none, together with others of their partition, and returns
-    /// the offset of the first one.
+    /// the offsets of all records of the call.
     pub async fn append(
         self: &Arc<Self>,
         id: PartitionId,
         records: Vec<Record>,
         urgency: Urgency,
-    ) -> Result<u64, StoreFailure> {
+    ) -> Result<Range<u64>, StoreFailure> {
         let (done, appended) = async_channel::bounded(1);
         let delay = match urgency {
             Urgency::Now => Duration::ZERO,
@@ -153,11 +166,15 @@
 
     /// Appends the records of a partition until none is due.
     async fn drain(self: Arc<Self>, id: PartitionId) {
-        while let Some(batch) = self.next_batch(id) {
+        loop {
+            task::sleep(self.pause(id)).await;
+            let Some(batch) = self.next_batch(id) else {
+                return;
+            };
             let mut records = Vec::new();
             let mut waiters = Vec::new();
             for pending in batch {
-                waiters.push((records.len() as u64, pending.done));
+                waiters.push(pending.done);
                 records.extend(pending.records);
             }
             let partition = Partition::new(&self.topics[id.topic_index], id.number);
@@ -165,14 +182,23 @@
                 .store
                 .append_on_any_path(partition, &records, NEXT_PATH_DELAY);
             let appended = append.await;
-            for (position, done) in waiters {
-                let result = appended.as_ref().map(|a| a.offset + position);
+            let len = records.len() as u64;
+            let offsets = appended.map(|a| a.offset..a.offset + len);
+            for done in waiters {
                 // The waiting task may have been cancelled.
-                let _ = done.try_send(result.map_err(Clone::clone));
+                let _ = done.try_send(offsets.clone());
             }
         }
     }
 
+    /// Time until the next call may be made in a partition.
+    fn pause(&self, id: PartitionId) -> Duration {
+        let queues = self.queues.lock();
+        let last_call = queues.get(&id).and_then(|q| q.last_call);
+        let since = last_call.map_or(Duration::MAX, |at| at.elapsed());
+        self.spacing.lock().saturating_sub(since)
+    }
+
     /// Takes the records of the next call; ends the partition's task if none is due.
     fn next_batch(&self, id: PartitionId) -> Option<Vec<PendingAppend>> {
         let mut queues = self.queues.lock();
@@ -189,6 +215,7 @@
             records <= max_records
         };
         let len = queue.pending.iter().take_while(fits).count().max(1);
+        queue.last_call = Some(Instant::now());
         Some(queue.pending.drain(..len).collect())
     }
 }
--- a/kingcupspan/src/gateway/ledger/holders.rs
+++ b/kingcupspan/src/gateway/ledger/holders.rs
@@ -20,7 +20,7 @@
     pub(super) async fn balance(&self, program: &ProgramKey) -> Result<TokenBalance, StoreFailure> {
         let allocations = self.partitions.allocations_by_daemon(program);
         let states = self.holder_states(program, &allocations).await;
-        self.partitions.refresh_program(program).await?;
+        self.homes.refresh(program).await?;
         let allocations = self.partitions.allocations_by_daemon(program);
         let mut balance = TokenBalance::default();
         for (daemon, allocations) in &allocations {
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -31,7 +31,10 @@
 pub use self::reservation::Reservation;
 use crate::{
     clock::Clock,
-    gateway::{group_commit::Urgency, partitions::Partitions, peers::Peers, store::StoreFailure},
+    gateway::{
+        allocation_homes::AllocationHomes, group_commit::Urgency, partitions::Partitions,
+        peers::Peers, store::StoreFailure,
+    },
 };
 
 /// Pause before tokens are looked for again that turns in flight may set free.
@@ -104,6 +107,7 @@
 pub struct Ledger {
     clock: Clock,
     partitions: Arc<Partitions>,
+    homes: Arc<AllocationHomes>,
     peers: Arc<Peers>,
 
     /// Time in the id of the last allocation.
@@ -118,10 +122,16 @@
 
 impl Ledger {
     /// Creates a ledger without reservations.
-    pub fn new(partitions: Arc<Partitions>, peers: Arc<Peers>, clock: Clock) -> Self {
+    pub fn new(
+        partitions: Arc<Partitions>,
+        homes: Arc<AllocationHomes>,
+        peers: Arc<Peers>,
+        clock: Clock,
+    ) -> Self {
         Self {
             clock,
             partitions,
+            homes,
             peers,
             last_allocation: Mutex::default(),
             open: Mutex::default(),
@@ -161,13 +171,14 @@
     ) -> Result<bool, ReserveError> {
         while !reservation.is_requested() && !self.fits(request) {
             // Turns may have set tokens free since the last read.
-            self.partitions.refresh_program(&request.program).await?;
+            self.homes.refresh(&request.program).await?;
             if !self.fits(request) {
                 self.refuse_or_wait(request).await?;
             }
         }
-        reservation.allocate().await?;
-        Ok(self.is_within_limit(request))
+        let limit = allocation::limit(request.budget, request.max_tokens);
+        let is_known_within = reservation.allocate(limit).await?;
+        Ok(is_known_within || self.is_within_limit(request))
     }
 
     /// Whether the tokens of a turn fit into the budget, by the records read so far.
@@ -228,7 +239,7 @@
 
     /// Settles an allocation with the tokens that its turn has used, however long that takes.
     async fn settle(&self, settlement: &Settlement, urgency: Urgency) {
-        while let Err(e) = self.partitions.settle(settlement, urgency).await {
+        while let Err(e) = self.homes.settle(settlement, urgency).await {
             let program = &*settlement.program.0;
             log::debug!(program, error = e.to_string().as_str(); "failed to settle tokens; retrying");
             self.wait_for_store(RETRY_DELAY).await;
--- a/kingcupspan/src/gateway/ledger/reservation.rs
+++ b/kingcupspan/src/gateway/ledger/reservation.rs
@@ -9,7 +9,9 @@
 };
 
 use super::{Ledger, TokenRequest};
-use crate::gateway::{group_commit::Urgency, store::StoreFailure};
+use crate::gateway::{
+    allocation_homes::AllocationRequest, group_commit::Urgency, store::StoreFailure,
+};
 
 /// Tokens reserved for one turn by an allocation in the store, which is settled when the
 /// reservation is dropped at the latest.
@@ -56,17 +58,27 @@
         self.progress != Progress::New
     }
 
-    /// Allocates the tokens in the store; may be repeated after a failure.
-    pub(super) async fn allocate(&mut self) -> Result<(), StoreFailure> {
-        if self.progress == Progress::New {
-            let (program, id) = (&self.program, &self.id);
-            self.ledger.note_allocation(program, id, self.max_tokens);
-            self.progress = Progress::Requested;
+    /// Allocates the tokens in the store, through the home of the program's allocations if there is
+    /// one; may be repeated after a failure, then by a call of this daemon.
+    ///
+    /// All allocations of the program together may have `limit` tokens; returns whether a home knows
+    /// that they have no more.
+    pub(super) async fn allocate(&mut self, limit: u64) -> Result<bool, StoreFailure> {
+        let homes = &self.ledger.homes;
+        let (program, id) = (&self.program, &self.id);
+        if self.progress != Progress::New {
+            let allocated = homes.allocate_here(program, id, self.max_tokens).await;
+            return allocated.map(|()| false);
         }
-        let partitions = &self.ledger.partitions;
-        partitions
-            .allocate(&self.program, &self.id, self.max_tokens)
-            .await
+        self.ledger.note_allocation(program, id, self.max_tokens);
+        self.progress = Progress::Requested;
+        let request = AllocationRequest {
+            program: program.clone(),
+            id: id.clone(),
+            tokens: self.max_tokens,
+            limit,
+        };
+        homes.allocate(&request).await
     }
 
     /// Settles the allocation with the tokens used; returns once the store has the record.
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -49,11 +49,14 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store and of the
-    /// reservations at endpoints.
-    pub fn new(traffic: &Traffic, reservations: &IntCounterVec) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store and others that
+    /// are kept where they are counted.
+    pub fn new(traffic: &Traffic, others: &[&IntCounterVec]) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes, reservations] {
+        for counters in [&traffic.calls, &traffic.bytes]
+            .into_iter()
+            .chain(others.iter().copied())
+        {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway daemon: accepts requests of callers, keeps durable state in the platform's
 //! store and forwards requests to endpoints.
 
+pub mod allocation_homes;
 pub mod backlog;
 pub mod blocked_requests;
 pub mod configuration;
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -5,10 +5,12 @@
 //! id; allocations lie in a partition chosen by their program. A daemon reads a
 //! partition from where its last read ended, and only when it needs the records.
 
+mod accounts;
 mod turns;
 
 use std::{
     collections::{BTreeMap, HashMap},
+    ops::Range,
     sync::Arc,
     time::Duration,
 };
@@ -176,7 +178,8 @@
     pub fn expire(&self, span: Duration) {
         self.fragments.lock().expire(self.clock.before(span));
         let before = |program: &ProgramKey| {
-            let last_read = self.last_read(program).unwrap_or_default();
+            // A partition that was not read, or is forgotten, will be read as a whole.
+            let last_read = self.last_read(program).unwrap_or(self.clock.mono());
             MonoMs(last_read.0.saturating_sub(span.as_millis() as u64))
         };
         self.allocations.lock().expire(before);
@@ -216,12 +219,13 @@
         let (record, allocation) = stored_record::allocation(program.clone(), id.clone(), tokens);
         let partition = self.partition_of_program(program);
         let started_at = self.clock.mono();
+        // It counts from now on, so that the records of a call are all known when it has ended.
+        self.apply(allocation);
         let append = self
             .group_commit
             .append(partition, vec![record], Urgency::Now);
-        let offset = append.await?;
-        self.apply(allocation);
-        self.read_up_to(partition, offset).await?;
+        let offsets = append.await?;
+        self.read_up_to(partition, offsets).await?;
         self.last_reads.lock().insert(partition, started_at);
         Ok(())
     }
@@ -260,13 +264,14 @@
         }
     }
 
-    /// Reads the records before `own_offset`, the offset of a record of this daemon.
-    async fn read_up_to(&self, id: PartitionId, own_offset: u64) -> Result<(), StoreFailure> {
+    /// Reads the records before those at `own`, the records of one call of this daemon, which are
+    /// known already.
+    async fn read_up_to(&self, id: PartitionId, own: Range<u64>) -> Result<(), StoreFailure> {
         let mut cursor = self.cursor(id).lock_arc().await;
         match cursor.next_offset() {
-            Some(next) if next > own_offset => Ok(()),
-            Some(next) if next == own_offset => {
-                cursor.skip_to(next + 1);
+            Some(next) if next >= own.end => Ok(()),
+            Some(next) if own.contains(&next) => {
+                cursor.skip_to(own.end);
                 Ok(())
             }
             _ => self.read_next(id, &mut cursor).await,
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -4,6 +4,7 @@
 
 use async_std::net::TcpListener;
 use http_types::Response;
+use kingcupspan_core::gateway::allocation::Settlement;
 
 use crate::{
     edge::server::{self, Exchange},
@@ -102,6 +103,17 @@
                 .note_announcement(vm, position);
             PeerResponse::Noted
         }
+        PeerRequest::Allocate(request) => {
+            PeerResponse::Allocated(service.allocation_homes.allocate_as_home(&request).await)
+        }
+        PeerRequest::Settle { program, id, used } => {
+            let settlement = Settlement { program, id, used };
+            PeerResponse::Settled(service.allocation_homes.settle_as_home(&settlement).await)
+        }
+        PeerRequest::ProgramAllocations(program) => {
+            let allocations = service.allocation_homes.allocations_as_home(&program);
+            PeerResponse::ProgramAllocations(allocations.await)
+        }
         PeerRequest::Call { path, body } => {
             PeerResponse::Called(service.store.proxy_call(path, body).await)
         }
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 
 use kingcupspan_core::{
     gateway::{
+        allocation::AllocationId,
         call::{ProgramKey, RequestId},
         crash_tracker::Crash,
         endpoint::InstanceId,
@@ -13,7 +14,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::configuration::Update;
+use crate::gateway::{
+    allocation_homes::{AllocationOutcome, AllocationRequest, ProgramAllocations},
+    configuration::Update,
+};
 
 /// Purpose for which a daemon asks for the use of a program's tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,6 +145,24 @@
         /// Number of the operator's records up to which the sender's version is the newest.
         position: u64,
     },
+
+    /// Asks the home of a program's allocations for one.
+    Allocate(AllocationRequest),
+
+    /// Asks the home of a program's allocations to settle one.
+    Settle {
+        /// The program.
+        program: ProgramKey,
+
+        /// The allocation.
+        id: AllocationId,
+
+        /// Tokens used.
+        used: u64,
+    },
+
+    /// Asks the home of a program's allocations for all of them.
+    ProgramAllocations(ProgramKey),
 }
 
 impl PeerRequest {
@@ -157,6 +179,9 @@
             Self::Configuration { .. } => "configuration",
             Self::ConfigurationPosition { .. } => "configuration position",
             Self::ConfigurationChanged { .. } => "configuration changed",
+            Self::Allocate(_) => "allocate",
+            Self::Settle { .. } => "settle",
+            Self::ProgramAllocations(_) => "program allocations",
         }
     }
 
@@ -167,6 +192,9 @@
             Self::Configuration { .. }
                 | Self::ConfigurationPosition { .. }
                 | Self::ConfigurationChanged { .. }
+                | Self::Allocate(_)
+                | Self::Settle { .. }
+                | Self::ProgramAllocations(_)
         )
     }
 }
@@ -224,4 +252,12 @@
         /// Whether the peer reaches the store.
         reaches_store: bool,
     },
+    /// Response to [`PeerRequest::Allocate`].
+    Allocated(AllocationOutcome),
+
+    /// Response to [`PeerRequest::Settle`]: whether the store has the settlement.
+    Settled(bool),
+
+    /// Response to [`PeerRequest::ProgramAllocations`]; `None` if the store cannot be read.
+    ProgramAllocations(Option<ProgramAllocations>),
 }
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -228,6 +228,13 @@
         all
     }
 
+    /// Number of daemons, including this one.
+    pub fn member_count(&self) -> usize {
+        let members = self.members.read();
+        let is_listed = members.contains_key(&self.local.vm);
+        members.len() + usize::from(!is_listed)
+    }
+
     /// Number of failure domains, including this daemon's own.
     pub fn domain_count(&self) -> usize {
         let members = self.members.read();
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -16,6 +16,7 @@
     clock::Clock,
     edge::server::{self, Exchange},
     gateway::{
+        allocation_homes::AllocationHomes,
         backlog::Backlog,
         blocked_requests::BlockedRequests,
         configuration::{self, ActiveConfiguration},
@@ -97,7 +98,17 @@
     let partitions = Partitions::new(Arc::clone(&store), &settings.store, cache_bytes, clock);
     let partitions = Arc::new(partitions);
     let connectivity = Connectivity::new(Arc::clone(&store), Arc::clone(&peers));
-    let ledger = Ledger::new(Arc::clone(&partitions), Arc::clone(&peers), clock);
+    let allocation_homes = Arc::new(AllocationHomes::new(
+        Arc::clone(&partitions),
+        Arc::clone(&peers),
+        settings.store.appends_per_s,
+    ));
+    let ledger = Ledger::new(
+        Arc::clone(&partitions),
+        Arc::clone(&allocation_homes),
+        Arc::clone(&peers),
+        clock,
+    );
     let configuration_follower = Arc::new(configuration::Follower::new(
         Arc::clone(&store),
         Arc::clone(&peers),
@@ -109,20 +120,21 @@
         Arc::clone(&endpoints),
     ));
     task::spawn(Arc::clone(&peers).monitor_domains());
-    let allocation_reader = Arc::clone(&partitions);
-    task::spawn(async move { allocation_reader.read_allocations().await });
+    task::spawn(Arc::clone(&allocation_homes).follow());
     let blocked_requests = Arc::new(BlockedRequests::new(clock));
     let (crash_sender, observed_crashes) = async_channel::unbounded();
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
-    let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
+    let counters = [&endpoint_limits.reservations, &allocation_homes.requests];
+    let metrics = Metrics::new(store.traffic(), &counters);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
         endpoints,
         backlog: Arc::new(Backlog::new(Arc::clone(&partitions))),
+        allocation_homes,
         ledger: Arc::new(ledger),
         connectivity,
         peers,
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::{
     gateway::{
+        allocation_homes::AllocationHomes,
         backlog::Backlog,
         blocked_requests::BlockedRequests,
         configuration::{ActiveConfiguration, Follower},
@@ -77,6 +78,9 @@
     /// Turns waiting to be written to the store.
     pub backlog: Arc<Backlog>,
 
+    /// Allocations made by this daemon, by homes for it and as home for others.
+    pub allocation_homes: Arc<AllocationHomes>,
+
     /// Token budgets of programs.
     pub ledger: Arc<Ledger>,
 
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -19,7 +19,7 @@
 /// Sends turns of a program alternately to the first two daemons until one is refused, and
 /// kills and restarts the first daemon in between; returns the number of tokens received
 /// and the status of the last turn.
-async fn spend_budget(fleet: &mut Fleet, program: &str, budget: u64) -> (usize, u16) {
+pub async fn spend_budget(fleet: &mut Fleet, program: &str, budget: u64) -> (usize, u16) {
     let mut tokens = 0;
     let mut last_status = 0;
     for round in 0..60 {
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -17,6 +17,9 @@
 /// Timeout for all daemons of a fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Appends a second for each daemon of a store that takes few of them.
+const FEW_APPENDS_PER_S: u32 = 30;
+
 /// Failure domains assigned to the daemons in rotation.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
@@ -64,7 +67,17 @@
     ) -> Self {
         let store = Arc::new(Store::default());
         let servers = [Arc::clone(&store)];
-        Self::start_configured(name, store, &servers, daemons, configuration).await
+        Self::start_configured(name, store, &servers, daemons, configuration, None).await
+    }
+
+    /// Starts a fleet whose store takes so few appends that the daemons share them.
+    pub async fn start_with_few_appends(name: &str, daemons: usize, timeout_ms: u64) -> Self {
+        let store = Arc::new(Store::default());
+        let servers = [Arc::clone(&store)];
+        let configuration = settings::configuration(1, timeout_ms);
+        let appends_per_s = Some(FEW_APPENDS_PER_S * daemons as u32);
+        let (name, servers) = (name, &servers);
+        Self::start_configured(name, store, servers, daemons, &configuration, appends_per_s).await
     }
 
     /// Starts a fleet whose daemons use the given servers of the store in rotation.
@@ -76,16 +89,18 @@
         timeout_ms: u64,
     ) -> Self {
         let configuration = settings::configuration(1, timeout_ms);
-        Self::start_configured(name, store, servers, daemons, &configuration).await
+        Self::start_configured(name, store, servers, daemons, &configuration, None).await
     }
 
-    /// Starts a fleet with a configuration.
+    /// Starts a fleet with a configuration; `appends_per_s` is what its store takes, if it names a
+    /// limit.
     async fn start_configured(
         name: &str,
         store: Arc<Store>,
         servers: &[Arc<Store>],
         daemons: usize,
         configuration: &serde_json::Value,
+        appends_per_s: Option<u32>,
     ) -> Self {
         let mut store_addrs: Vec<net::SocketAddr> = Vec::new();
         for (i, server) in servers.iter().enumerate() {
@@ -109,7 +124,11 @@
         for i in 0..daemons {
             let ip = process::unique_loopback_address();
             let (vm, domain) = vm_and_domain(i);
-            let settings = settings::daemon(&vm, domain, ip, store_addrs[i % store_addrs.len()]);
+            let mut settings =
+                settings::daemon(&vm, domain, ip, store_addrs[i % store_addrs.len()]);
+            if let Some(rate) = appends_per_s {
+                settings["platform"]["writes_per_s"] = rate.into();
+            }
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
             fleet.daemons.push(spawn_daemon(&settings_file));
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 #[path = "../common/process.rs"]
 mod process;
 
+mod allocation_homes;
 mod budgets;
 mod durable_turns;
 mod endless_responses;
--- a/kingcupspan/tests/gateway/shared_records.rs
+++ b/kingcupspan/tests/gateway/shared_records.rs
@@ -47,6 +47,7 @@
             record_bytes: 262_144,
             call_bytes: 2_097_152,
         },
+        appends_per_s: None,
     };
     Partitions::new(store, &settings, CACHE_BYTES, clock)
 }
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod allocation;
+mod allocation_homes;
 mod budget_spec;
 mod crash_tracker;
 mod directory;
