--- a/kingcupspan/src/gateway/backlog.rs
+++ b/kingcupspan/src/gateway/backlog.rs
@@ -11,7 +11,7 @@
     task,
 };
 use futures_lite::FutureExt;
-use kingcupspan_core::gateway::turn_queue::TurnQueue;
+use kingcupspan_core::gateway::{turn_queue::TurnQueue, workspace};
 use parking_lot::Mutex;
 
 use crate::gateway::{
@@ -87,7 +87,7 @@
             let first = batch[0].turn.id.clone();
             let error = self.write(partition, batch).await.err();
             if let Some(e) = error.as_ref().filter(|_| !has_failed) {
-                log::info!(request = &*first.0, error = e.to_string().as_str(); "failed to write turns to the store; the ends of their answers wait for another attempt");
+                log::info!(request = &*workspace::readable(&first.0), error = e.to_string().as_str(); "failed to write turns to the store; the ends of their answers wait for another attempt");
             }
             has_failed = error.is_some();
             drop(retry);
--- a/kingcupspan/src/gateway/blocked_requests.rs
+++ b/kingcupspan/src/gateway/blocked_requests.rs
@@ -3,7 +3,10 @@
 
 use std::sync::Arc;
 
-use kingcupspan_core::gateway::crash_tracker::{Crash, CrashTracker, Fingerprint};
+use kingcupspan_core::gateway::{
+    crash_tracker::{Crash, CrashTracker, Fingerprint},
+    workspace::WorkspaceName,
+};
 use parking_lot::Mutex;
 
 use crate::{
@@ -28,9 +31,16 @@
     }
 
     /// Returns whether a request is blocked because it crashed too many endpoints.
-    pub fn is_blocked(&self, method: &str, target: &str, body: &[u8]) -> bool {
+    pub fn is_blocked(
+        &self,
+        workspace: Option<&WorkspaceName>,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> bool {
         let tracker = self.tracker.lock();
-        !tracker.is_empty() && tracker.is_blocked(Fingerprint::of(method, target, body))
+        let fingerprint = || Fingerprint::of(method, target, body).within(workspace);
+        !tracker.is_empty() && tracker.is_blocked(fingerprint())
     }
 
     /// Records crashes.
--- a/kingcupspan/src/gateway/configuration/update.rs
+++ b/kingcupspan/src/gateway/configuration/update.rs
@@ -49,6 +49,11 @@
     /// The configuration after the changes is not the one that was sent.
     #[error("the digest differs after the changes to version {0}")]
     DigestDiffers(Version),
+
+    /// The configuration has no workspaces, as with senders of a former version, which drop
+    /// them; whether that is so has to be read from the record.
+    #[error("version {0} has no workspaces, unlike the active one")]
+    NoWorkspaces(Version),
 }
 
 impl Update {
@@ -66,6 +71,10 @@
     /// Returns the configuration after the changes.
     pub(super) fn apply_to(&self, active: Option<&Versioned>) -> Result<Versioned, UpdateError> {
         let empty = Configuration::default();
+        let has_workspaces = active.is_some_and(|a| a.configuration.workspaces.is_some());
+        if has_workspaces && self.changes.workspaces.is_none() {
+            return Err(UpdateError::NoWorkspaces(self.changes.version));
+        }
         let base = match self.changes.base == empty.version {
             true => &empty,
             false => active.map_or(&empty, |a| &a.configuration),
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -7,10 +7,11 @@
 
 use kingcupspan_core::gateway::{
     call::{CallInfo, RequestId},
+    crash_tracker::Fingerprint,
     endpoint::InstanceId,
     history::{self, Turn},
     routing::{Configuration, Route, ServiceName},
-    workspace::Workspace,
+    workspace::{Workspace, WorkspaceName},
 };
 
 use crate::{
@@ -34,12 +35,15 @@
     /// The request body.
     pub body: Vec<u8>,
 
-    /// Information that the caller passed in headers.
+    /// Information that the caller passed in headers, with keys that no other workspace has.
     pub info: CallInfo,
 
     /// Identifier of this attempt, chosen by the caller.
     pub id: RequestId,
 
+    /// Identifier of the resulting turn, which no other workspace has.
+    pub turn_id: RequestId,
+
     /// The configuration that was active when the request was admitted.
     pub configuration: Arc<Configuration>,
 
@@ -138,6 +142,25 @@
         history::build_prompt(&self.history, &self.body)
     }
 
+    /// Name of the caller's workspace, if it has one.
+    pub fn workspace_name(&self) -> Option<&WorkspaceName> {
+        self.workspace.as_ref().map(|w| &w.name)
+    }
+
+    /// Rank of the request, 0 is the highest: that of its workspace, or else that of its route.
+    pub fn rank(&self) -> u32 {
+        let workspace = self.workspace.as_ref();
+        workspace
+            .and_then(|w| w.priority)
+            .unwrap_or(self.route.priority)
+    }
+
+    /// Fingerprint shared by all attempts of the request, used to attribute crashes.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let head = &self.head;
+        Fingerprint::of(&head.method, &head.target, &self.body).within(self.workspace_name())
+    }
+
     /// Returns whether the request runs on a model engine.
     pub fn runs_on_engine(&self) -> bool {
         let service = self.configuration.services.get(&self.service);
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -22,6 +22,7 @@
     gateway::{
         allocation::{self, AllocationId, BudgetState, Settlement, TokenBalance},
         call::ProgramKey,
+        workspace,
     },
     id::{MonoMs, WallMs},
 };
@@ -229,8 +230,8 @@
     /// Settles an allocation with the tokens that its turn has used, however long that takes.
     async fn settle(&self, settlement: &Settlement, urgency: Urgency) {
         while let Err(e) = self.partitions.settle(settlement, urgency).await {
-            let program = &*settlement.program.0;
-            log::debug!(program, error = e.to_string().as_str(); "failed to settle tokens; retrying");
+            let program = workspace::readable(&settlement.program.0);
+            log::debug!(program = &*program, error = e.to_string().as_str(); "failed to settle tokens; retrying");
             self.wait_for_store(RETRY_DELAY).await;
         }
         self.forget(&settlement.program, &settlement.id);
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -58,7 +58,7 @@
                 [last, first].iter().any(|e| e.as_ref() == Some(endpoint))
             }
         };
-        let (claim, share) = match (is_resident, ex.route.priority) {
+        let (claim, share) = match (is_resident, ex.rank()) {
             (true, _) => (Claim::Resident, RESIDENT_WAIT),
             (false, 0) => (Claim::Newcomer, HIGHEST_RANK_WAIT),
             (false, _) => (Claim::Newcomer, 0.0),
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -19,6 +19,7 @@
         history::Turn,
         outage,
         routing::RouteKind,
+        workspace,
     },
 };
 
@@ -174,10 +175,12 @@
             .ok_or_else(|| self.refuse_without_route(&info, &configuration))?;
         let route = Arc::clone(route);
         let workspace = self.authenticate(&head, &info, &configuration, &route)?;
+        let name = workspace.as_ref().map(|w| &w.name);
         let id = info.id.clone().ok_or(ErrorReason::MalformedRequest)?;
+        let info = info.within(name);
         if self
             .blocked_requests
-            .is_blocked(&head.method, &head.target, &body)
+            .is_blocked(name, &head.method, &head.target, &body)
         {
             return Err(ErrorReason::CrashesEndpoints.into());
         }
@@ -196,6 +199,7 @@
             head,
             body,
             info,
+            turn_id: id.within(name),
             id,
             configuration,
             workspace,
@@ -283,8 +287,9 @@
                 Ok(())
             }
             Err(HistoryError::Unknown(missing)) => {
-                log::warn!(request = &*ex.id.0, missing = &*missing.0; "previous turn does not exist");
-                Err(ErrorReason::UnknownTurn.into())
+                let missing = workspace::readable(&missing.0);
+                log::warn!(request = &*ex.id.0, missing = &*missing; "previous turn does not exist");
+                Err(self.refuse_without_turn(ex))
             }
             Err(e) => {
                 log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "cannot load the history of the turn");
@@ -327,7 +332,7 @@
             ReserveError::AllReserved(_) => ErrorReason::BudgetReserved,
             ReserveError::StoreUnavailable(_) => ErrorReason::StoreUnreachable,
         };
-        log::info!(request = &*ex.id.0, program = &*program.program.0, budget, most = token_request.max_tokens, error = e.to_string().as_str(); "cannot reserve tokens for the turn");
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), budget, most = token_request.max_tokens, error = e.to_string().as_str(); "cannot reserve tokens for the turn");
         Err(match reason {
             ErrorReason::BudgetExhausted => reason.into(),
             ErrorReason::StoreUnreachable => ErrorResponse {
@@ -349,7 +354,8 @@
         let reservation = ex.reservation.take_if(|_| is_success);
         if response.turn.is_some() || reservation.is_some() {
             let started_at = Instant::now();
-            self.store_outcome(&ex.id, response.turn, reservation).await;
+            self.store_outcome(&ex.turn_id, response.turn, reservation)
+                .await;
             let held = started_at.elapsed();
             self.metrics.held_ends_s.observe(held.as_secs_f64());
             if held > LONG_HOLD {
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupspan_core::gateway::{admission, call::CallInfo, outage, routing::Configuration};
+use kingcupspan_core::gateway::{
+    admission, call::CallInfo, outage, routing::Configuration, workspace,
+};
 
 use super::{Gateway, retry_later};
 use crate::gateway::{
@@ -31,6 +33,15 @@
         }
     }
 
+    /// Returns the response to a turn whose previous turn its workspace does not have: a newer
+    /// configuration may give the caller's key to another workspace, which has it.
+    pub(super) fn refuse_without_turn(&self, ex: &Exchange) -> ErrorResponse {
+        match ex.workspace.is_none() || self.configuration.is_certain() {
+            true => ErrorReason::UnknownTurn.into(),
+            false => retry_later(ErrorReason::ConfigurationOutdated),
+        }
+    }
+
     /// Refuses a request that the end of a graceful shutdown might cut; other daemons can serve it.
     pub(super) fn refuse_late_in_shutdown(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         if !self.shutdown.may_cut(ex.deadline) {
@@ -83,10 +94,10 @@
         let Some(utilization) = admission::utilization(&engines) else {
             return Ok(());
         };
-        if admission::should_admit(utilization, ex.route.priority, rand::random()) {
+        if admission::should_admit(utilization, ex.rank(), rand::random()) {
             return Ok(());
         }
-        log::info!(request = &*ex.id.0, program = &*program.program.0, rank = ex.route.priority, pressure = utilization; "program refused: engines are overloaded");
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), rank = ex.rank(), pressure = utilization; "program refused: engines are overloaded");
         Err(ErrorResponse {
             reason: ErrorReason::EnginesOverloaded,
             retry_after: Some(admission::retry_after(rand::random())),
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupspan_core::gateway::{crash_tracker::Fingerprint, endpoint::InstanceId};
+use kingcupspan_core::gateway::endpoint::InstanceId;
 
 use super::{Failure, Gateway};
 use crate::gateway::{
@@ -45,7 +45,7 @@
                 id: &ex.id,
                 workspace: ex.workspace.as_ref().map(|w| &w.name),
                 has_keys: ex.configuration.workspaces.is_some(),
-                fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
+                fingerprint: ex.fingerprint(),
                 body: &body,
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -219,11 +219,10 @@
             .await
     }
 
-    /// Returns the value of the first metric of a daemon whose line contains `label`, 0 if there
-    /// is none.
-    async fn metric(&self, daemon: usize, label: &str) -> u64 {
+    /// Returns what a daemon tells an operator under a path.
+    pub async fn operator_text(&self, daemon: usize, path: &str) -> String {
         let addr = net::SocketAddr::new(self.addresses[daemon].into(), 7395);
-        let request = ClientRequest::new(Method::Get, addr, "/metrics");
+        let request = ClientRequest::new(Method::Get, addr, path);
         let response = Client::default()
             .send(request)
             .await
@@ -231,8 +230,14 @@
         let bytes = response
             .bytes(1 << 20)
             .await
-            .expect("the metrics can be read");
-        let text = String::from_utf8(bytes).expect("the metrics are UTF-8");
+            .expect("the response can be read");
+        String::from_utf8(bytes).expect("the response is UTF-8")
+    }
+
+    /// Returns the value of the first metric of a daemon whose line contains `label`, 0 if there
+    /// is none.
+    async fn metric(&self, daemon: usize, label: &str) -> u64 {
+        let text = self.operator_text(daemon, "/metrics").await;
         let mut lines = text.lines().filter(|l| !l.starts_with('#'));
         let line = lines.find(|l| l.contains(label));
         let count = line.and_then(|l| l.rsplit(' ').next());
--- a/kingcupspan_core/src/gateway/call.rs
+++ b/kingcupspan_core/src/gateway/call.rs
@@ -5,6 +5,8 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
+use super::workspace::WorkspaceName;
+
 /// The caller's identifier of one attempt, which also identifies the resulting turn.
 #[derive(
     Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
@@ -67,7 +69,40 @@
     pub program: Option<ProgramInfo>,
 }
 
+impl ProgramInfo {
+    /// Returns the information with identifiers that no other workspace has.
+    fn within(self, workspace: &WorkspaceName) -> Self {
+        let previous = self.previous.as_ref();
+        Self {
+            program: ProgramKey(workspace.qualify(&self.program.0)),
+            previous: previous.map(|id| id.within(Some(workspace))),
+            ..self
+        }
+    }
+}
+
+impl RequestId {
+    /// Returns the identifier of the resulting turn, which no other workspace has.
+    pub fn within(&self, workspace: Option<&WorkspaceName>) -> Self {
+        workspace.map_or_else(|| self.clone(), |w| Self(w.qualify(&self.0)))
+    }
+}
+
 impl CallInfo {
+    /// Returns the information with keys of programs, turns and objects that no other workspace
+    /// has; the identifier of the attempt stays, since the caller and the endpoint know it.
+    pub fn within(self, workspace: Option<&WorkspaceName>) -> Self {
+        let Some(workspace) = workspace else {
+            return self;
+        };
+        let affinity = self.affinity.as_deref();
+        Self {
+            affinity: affinity.map(|key| workspace.qualify(key).as_ref().to_owned()),
+            program: self.program.map(|p| p.within(workspace)),
+            ..self
+        }
+    }
+
     /// Returns the key shared by requests that run faster on the same endpoint: the
     /// affinity key or else the program.
     pub fn placement_key(&self) -> Option<&str> {
--- a/kingcupspan_core/src/gateway/crash_tracker.rs
+++ b/kingcupspan_core/src/gateway/crash_tracker.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     digest::Digest,
-    gateway::{call::RequestId, endpoint::InstanceId},
+    gateway::{call::RequestId, endpoint::InstanceId, workspace::WorkspaceName},
     id::MonoMs,
 };
 
@@ -32,6 +32,12 @@
         let head_digest = Digest::of(format!("{method} {target}").as_bytes());
         Self(head_digest.chain(body).prefix_u64())
     }
+
+    /// Returns the fingerprint of the same request of a workspace.
+    pub fn within(self, workspace: Option<&WorkspaceName>) -> Self {
+        let qualified = workspace.map(|w| w.qualify(&self.0.to_string()));
+        qualified.map_or(self, |q| Self(Digest::of(q.as_bytes()).prefix_u64()))
+    }
 }
 
 /// A crash of an endpoint while it ran a request.
--- a/kingcupspan_core/src/gateway/routing.rs
+++ b/kingcupspan_core/src/gateway/routing.rs
@@ -8,7 +8,7 @@
 
 use super::{
     route_table::{RouteChanges, RouteTable},
-    workspace::Workspaces,
+    workspace::{WorkspaceChanges, Workspaces},
 };
 use crate::id::Version;
 
@@ -212,9 +212,9 @@
     /// Limits after the changes.
     pub limits: Limits,
 
-    /// All workspaces after the changes.
+    /// Changes of the workspaces; `None` if there are none after the changes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub workspaces: Option<Arc<Workspaces>>,
+    pub workspaces: Option<WorkspaceChanges>,
 }
 
 impl Configuration {
@@ -231,10 +231,23 @@
             routes: self.routes.changes_since(&base.routes),
             services: self.services.clone(),
             limits: self.limits,
-            workspaces: self.workspaces.clone(),
+            workspaces: self.workspace_changes_since(base),
         }
     }
 
+    /// Returns the changes of the workspaces since `base`; `None` if there are no workspaces.
+    fn workspace_changes_since(&self, base: &Self) -> Option<WorkspaceChanges> {
+        let base = base.workspaces.clone().unwrap_or_default();
+        let workspaces = self.workspaces.as_ref()?;
+        Some(workspaces.changes_since(&base))
+    }
+
+    /// Returns the workspaces after the changes.
+    fn workspaces_with(&self, changes: &WorkspaceChanges) -> Arc<Workspaces> {
+        let base = self.workspaces.clone().unwrap_or_default();
+        Arc::new(base.with(changes))
+    }
+
     /// Returns the configuration after the changes; `None` if they are changes of another
     /// version.
     pub fn with(&self, changes: &ConfigurationChanges) -> Option<Self> {
@@ -243,7 +256,7 @@
             routes: self.routes.with(&changes.routes),
             services: changes.services.clone(),
             limits: changes.limits,
-            workspaces: changes.workspaces.clone(),
+            workspaces: changes.workspaces.as_ref().map(|c| self.workspaces_with(c)),
         })
     }
 
--- a/kingcupspan_core/src/gateway/workspace.rs
+++ b/kingcupspan_core/src/gateway/workspace.rs
@@ -1,6 +1,7 @@
 //! Workspaces, to which callers belong, and the keys by which callers prove that they do.
 
 use std::{
+    borrow::Cow,
     collections::{BTreeMap, HashMap},
     sync::Arc,
 };
@@ -29,6 +30,14 @@
     }
 }
 
+/// Returns an identifier as logs show it: a qualified one with its workspace before a slash.
+pub fn readable(id: &str) -> Cow<'_, str> {
+    match id.contains(SEPARATOR) {
+        true => id.replacen(SEPARATOR, "/", 1).into(),
+        false => id.into(),
+    }
+}
+
 /// Limit on the requests of a workspace through all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
@@ -48,8 +57,8 @@
     /// Digests of the keys of its callers.
     pub keys: Vec<Digest>,
 
-    /// Rank, which goes before the rank of the route; 0 is the highest.
-    pub priority: u32,
+    /// Rank, which goes before the rank of the route if there is one; 0 is the highest.
+    pub priority: Option<u32>,
 
     /// Limit on its requests, if there is one.
     pub quota: Option<Quota>,
@@ -65,6 +74,16 @@
     by_key: HashMap<Digest, Arc<Workspace>>,
 }
 
+/// Difference between the workspaces of two configurations.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceChanges {
+    /// Workspaces that are new or differ.
+    pub set: Vec<Arc<Workspace>>,
+
+    /// Workspaces that no longer exist.
+    pub removed: Vec<WorkspaceName>,
+}
+
 impl From<Vec<Arc<Workspace>>> for Workspaces {
     fn from(workspaces: Vec<Arc<Workspace>>) -> Self {
         let by_name: BTreeMap<_, _> = workspaces
@@ -109,6 +128,26 @@
         self.by_name.get(name)
     }
 
+    /// Returns what has changed since `base`.
+    pub fn changes_since(&self, base: &Self) -> WorkspaceChanges {
+        let is_new = |w: &&Arc<Workspace>| base.get(&w.name) != Some(*w);
+        let is_gone = |name: &&WorkspaceName| !self.by_name.contains_key(*name);
+        WorkspaceChanges {
+            set: self.iter().filter(is_new).cloned().collect(),
+            removed: base.by_name.keys().filter(is_gone).cloned().collect(),
+        }
+    }
+
+    /// Returns the workspaces after the changes, which share the unchanged ones with these.
+    pub fn with(&self, changes: &WorkspaceChanges) -> Self {
+        let mut by_name = self.by_name.clone();
+        changes.removed.iter().for_each(|name| {
+            by_name.remove(name);
+        });
+        let workspaces = by_name.into_values().chain(changes.set.iter().cloned());
+        workspaces.collect::<Vec<_>>().into()
+    }
+
     /// All workspaces in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Workspace>> {
         self.by_name.values()
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -17,3 +17,4 @@
 mod routing;
 mod turn_queue;
 mod turn_spec;
+mod workspace;
