--- a/kingcupspan/src/clock.rs
+++ b/kingcupspan/src/clock.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use kingcupspan_core::id::{MonoMs, WallMs};
+use kingcupspan_core::{
+    gateway::quota::Moment,
+    id::{MonoMs, WallMs},
+};
 
 /// Source of monotonic and wall-clock time.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +33,14 @@
         MonoMs(self.mono().0.saturating_sub(span.as_millis() as u64))
     }
 
+    /// Returns the time by both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment {
+            mono: self.mono(),
+            wall: self.wall(),
+        }
+    }
+
     /// Returns the wall-clock time.
     pub fn wall(&self) -> WallMs {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/kingcupspan/src/gateway/error_response.rs
+++ b/kingcupspan/src/gateway/error_response.rs
@@ -36,6 +36,10 @@
     #[display("quota reached")]
     QuotaReached,
 
+    /// No daemon that could tell whether the quota is reached responds.
+    #[display("quota unknown")]
+    QuotaUnknown,
+
     /// The previous turn that the request names does not exist.
     #[display("no such turn")]
     UnknownTurn,
@@ -110,6 +114,7 @@
             Self::BudgetExhausted => 402,
             Self::QuotaReached => 429,
             Self::BudgetReserved
+            | Self::QuotaUnknown
             | Self::NoConfiguration
             | Self::ConfigurationOutdated
             | Self::TurnUnavailable
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
     call::{CallInfo, RequestId},
     endpoint::InstanceId,
     history::{self, Turn},
+    quota::Token,
     routing::{Configuration, Route, ServiceName},
     workspace::Workspace,
 };
@@ -65,6 +66,9 @@
     /// Tokens of the program's budget that are reserved for this turn.
     pub reservation: Option<Reservation>,
 
+    /// Token of the workspace's quota that is not spent yet.
+    pub quota_token: Option<Token>,
+
     /// How far the request has been processed.
     pub progress: Progress,
 
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Adds counters that another part of the daemon keeps.
+    pub fn add(&self, counters: &IntCounterVec) {
+        register(&self.registry, Ok(counters.clone()));
+    }
+
     /// Counts a finished request and records its duration.
     pub fn record_request(&self, status: u16, reason: &str, duration: Duration) {
         let labels = [&status.to_string(), reason];
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -102,6 +102,15 @@
                 .note_announcement(vm, position);
             PeerResponse::Noted
         }
+        PeerRequest::GrantQuota(question) => {
+            service.peers.note_request_from(&question.domain);
+            let answer = Arc::clone(&service.quotas.homes).answer(question).await;
+            PeerResponse::QuotaGranted(answer)
+        }
+        PeerRequest::TakeOverQuota {
+            workspace,
+            successor,
+        } => PeerResponse::QuotaHome(service.quotas.homes.resign(workspace, successor)),
         PeerRequest::Call { path, body } => {
             PeerResponse::Called(service.store.proxy_call(path, body).await)
         }
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -8,11 +8,13 @@
         history::Turn,
         incarnation::Incarnation,
         rate_limit::{Claim, RequestRate, Reservation},
+        workspace::{Quota, WorkspaceName},
     },
     id::Version,
 };
 use serde::{Deserialize, Serialize};
 
+use super::Peer;
 use crate::gateway::configuration::Update;
 
 /// Purpose for which a daemon asks for the use of a program's tokens.
@@ -52,6 +54,56 @@
     pub has_granted: bool,
 }
 
+/// Question for tokens of a workspace's quota.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuotaQuestion {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+
+    /// Version of the configuration that has the limit.
+    pub version: Version,
+
+    /// Limit of the workspace.
+    pub quota: Quota,
+
+    /// Failure domain of the sender; a home of another one borrows.
+    pub domain: String,
+
+    /// Number of tokens wanted.
+    pub wanted: u32,
+
+    /// Another home that has lately answered the sender.
+    pub former_home: Option<Incarnation>,
+
+    /// Whether the sender passes the question on for another daemon.
+    pub is_forwarded: bool,
+}
+
+/// Answer to a question for tokens of a quota.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// Home that answers.
+    pub home: Incarnation,
+
+    /// Number of tokens granted.
+    pub tokens: u32,
+
+    /// Time from the question within which the tokens have to be spent, in milliseconds.
+    pub validity_ms: u64,
+
+    /// Time after which there are likely to be tokens again, in milliseconds.
+    pub retry_ms: u64,
+
+    /// Tokens left in the home's bucket.
+    pub level: f64,
+
+    /// Tokens a second that the home's failure domain uses.
+    pub use_per_s: f64,
+
+    /// Tokens a second that all failure domains use, as far as the home knows.
+    pub total_use_per_s: f64,
+}
+
 /// Request to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -141,6 +193,19 @@
         /// Number of the operator's records up to which the sender's version is the newest.
         position: u64,
     },
+
+    /// Asks the home of a workspace for tokens of its quota.
+    GrantQuota(QuotaQuestion),
+
+    /// Tells a home of a workspace that the sender has become its home, so that the recipient
+    /// passes questions on.
+    TakeOverQuota {
+        /// The workspace.
+        workspace: WorkspaceName,
+
+        /// The sender.
+        successor: Peer,
+    },
 }
 
 impl PeerRequest {
@@ -157,6 +222,8 @@
             Self::Configuration { .. } => "configuration",
             Self::ConfigurationPosition { .. } => "configuration position",
             Self::ConfigurationChanged { .. } => "configuration changed",
+            Self::GrantQuota(_) => "grant quota",
+            Self::TakeOverQuota { .. } => "take over quota",
         }
     }
 
@@ -167,6 +234,8 @@
             Self::Configuration { .. }
                 | Self::ConfigurationPosition { .. }
                 | Self::ConfigurationChanged { .. }
+                | Self::GrantQuota(_)
+                | Self::TakeOverQuota { .. }
         )
     }
 }
@@ -224,4 +293,10 @@
         /// Whether the peer reaches the store.
         reaches_store: bool,
     },
+
+    /// Response to [`PeerRequest::GrantQuota`]; `None` if the peer cannot tell.
+    QuotaGranted(Option<QuotaAnswer>),
+
+    /// Response to [`PeerRequest::TakeOverQuota`]: the home to which the peer passes questions on.
+    QuotaHome(Peer),
 }
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -4,7 +4,7 @@
 mod message;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -26,7 +26,7 @@
 
 pub use self::{
     member::Peer,
-    message::{PeerRequest, PeerResponse, Purpose, TokenUse},
+    message::{PeerRequest, PeerResponse, Purpose, QuotaAnswer, QuotaQuestion, TokenUse},
 };
 use crate::edge::client::{Client, ClientRequest, SendError, Timeouts};
 
@@ -137,15 +137,27 @@
     /// Daemons in the rendezvous order of a key, this one included, without those that did not
     /// respond lately.
     pub fn ranked(&self, key: &str, max: usize) -> Vec<Peer> {
+        self.ranked_where(key, max, |_| true)
+    }
+
+    /// Daemons of a failure domain in the rendezvous order of a key, without those that did not
+    /// respond lately.
+    pub fn ranked_in_domain(&self, domain: &str, key: &str, max: usize) -> Vec<Peer> {
+        self.ranked_where(key, max, |p| p.domain == domain)
+    }
+
+    /// Daemons for which `filter` holds in the rendezvous order of a key, without those that did
+    /// not respond lately.
+    fn ranked_where(&self, key: &str, max: usize, filter: impl Fn(&Peer) -> bool) -> Vec<Peer> {
         let members = self.members.read();
         let unresponsive = self.unresponsive.lock();
         let is_usable = |vm: &&str| {
             let at = unresponsive.get(*vm);
             at.is_none_or(|at| at.elapsed() >= PASSED_OVER_FOR)
         };
-        let others = members.keys().map(String::as_str);
-        let local = (!members.contains_key(&self.local.vm)).then_some(self.local.vm.as_str());
-        let vms = others.chain(local).filter(is_usable);
+        let local = (!members.contains_key(&self.local.vm)).then_some(&self.local);
+        let peers = members.values().chain(local).filter(|p| filter(p));
+        let vms = peers.map(|p| p.vm.as_str()).filter(is_usable);
         let ranked = rendezvous::ranked(key, vms);
         let peer = |vm: &str| members.get(vm).unwrap_or(&self.local).clone();
         ranked.into_iter().take(max).map(peer).collect()
@@ -228,6 +240,37 @@
         all
     }
 
+    /// All failure domains of the member list and this daemon's own, in the order of their names.
+    pub fn domains(&self) -> Vec<String> {
+        let members = self.members.read();
+        let others = members.values().map(|p| p.domain.clone());
+        let domains: BTreeSet<String> = others.chain([self.local.domain.clone()]).collect();
+        domains.into_iter().collect()
+    }
+
+    /// Records that a daemon of a failure domain has sent a request.
+    pub fn note_request_from(&self, domain: &str) {
+        let mut last_responses = self.last_responses.lock();
+        last_responses.insert(domain.to_owned(), Instant::now());
+    }
+
+    /// Whether another daemon of this failure domain was heard of within `span`, or there is none.
+    pub async fn hears_own_domain(&self, span: Duration) -> bool {
+        let domain = &self.local.domain;
+        let last = self.last_responses.lock().get(domain).copied();
+        if last.is_some_and(|at| at.elapsed() < span) {
+            return true;
+        }
+        let peers = self.sample(PINGED_MAX, |p| p.domain == *domain);
+        let is_alone = peers.is_empty();
+        for peer in peers {
+            if self.send(&peer, &PeerRequest::Hello).await.is_ok() {
+                return true;
+            }
+        }
+        is_alone
+    }
+
     /// Number of failure domains, including this daemon's own.
     pub fn domain_count(&self) -> usize {
         let members = self.members.read();
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -30,6 +30,7 @@
         partitions::Partitions,
         peer_service,
         peers::{Peer, Peers},
+        quotas::Quotas,
         serve::Gateway,
         shutdown::Shutdown,
         store::Store,
@@ -118,6 +119,8 @@
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
     let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
+    let quotas = Quotas::new(Arc::clone(&peers), clock, settings.domains.clone());
+    metrics.add(&quotas.tokens);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -131,6 +134,7 @@
         partitions,
         upstream: Arc::new(Upstream::new(crash_sender)),
         endpoint_limits,
+        quotas: Arc::new(quotas),
         blocked_requests,
         last_engines: LastEngines::default(),
         domain: settings.domain.clone(),
@@ -179,6 +183,7 @@
         gateway.last_engines.expire();
         gateway.endpoints.expire();
         gateway.endpoint_limits.expire();
+        gateway.quotas.expire();
         gateway.blocked_requests.expire();
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod authenticate;
 mod choose;
+mod quota;
 mod refuse;
 mod send;
 
@@ -39,6 +40,7 @@
         metrics::Metrics,
         partitions::{Partitions, TurnToStore},
         peers::Peers,
+        quotas::Quotas,
         relay,
         shutdown::Shutdown,
         store::Store,
@@ -98,6 +100,9 @@
     /// Rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
 
+    /// Quotas of workspaces.
+    pub quotas: Arc<Quotas>,
+
     /// Requests blocked because they crash endpoints.
     pub blocked_requests: Arc<BlockedRequests>,
 
@@ -203,6 +208,7 @@
             service,
             history: Vec::new(),
             reservation: None,
+            quota_token: None,
             progress: Progress::NotSent,
             last_endpoint: None,
             refused_on: Vec::new(),
@@ -232,7 +238,9 @@
             None
         };
         let work = async { Some(self.process(ex, caller).await) };
-        match future::timeout(remaining, work.or(disconnected)).await {
+        let result = future::timeout(remaining, work.or(disconnected)).await;
+        self.return_quota(ex);
+        match result {
             Ok(Some(Ok(status))) => Outcome::Answered(status),
             Ok(Some(Err(Failure::Failed(response)))) => Outcome::Failed(response),
             Ok(Some(Err(Failure::Partial(reason)))) => Outcome::Partial(reason),
@@ -251,6 +259,7 @@
         self.refuse_late_in_shutdown(ex)?;
         self.refuse_if_cut_off(ex)?;
         self.refuse_in_outage(ex)?;
+        self.reserve_quota(ex).await?;
         self.admit_program(ex)?;
         self.load_history(ex).await?;
         self.reserve_tokens(ex).await?;
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -37,6 +37,7 @@
                 // The request may have run, so the error must not promise that it has not.
                 _ => ErrorReason::NoOutcome.into(),
             })?;
+            let token = self.spend_quota(ex, *possible_runs).await?;
             let request_guard = self.upstream.track_request(&endpoint.id);
             let outgoing = OutgoingRequest {
                 method: &ex.head.method,
@@ -94,6 +95,7 @@
                 }
             }
             if *possible_runs == 0 {
+                ex.quota_token = token;
                 ex.progress = Progress::NotSent;
             }
             if tried.len() >= MAX_ENDPOINTS_TRIED {
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod incarnation;
 pub mod outage;
 pub mod placement;
+pub mod quota;
 pub mod rate_limit;
 pub mod route_table;
 pub mod routing;
