--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
     crash_tracker::Fingerprint,
     endpoint::InstanceId,
     history::{self, Turn},
+    quota::Token,
     routing::{Configuration, Route, ServiceName},
     workspace::{Workspace, WorkspaceName},
 };
@@ -69,6 +70,9 @@
     /// Tokens of the program's budget that are reserved for this turn.
     pub reservation: Option<Reservation>,
 
+    /// Token of the workspace's quota that is not spent yet.
+    pub quota_token: Option<Token>,
+
     /// How far the request has been processed.
     pub progress: Progress,
 
