--- a/kingcupspan/src/gateway/configuration/read.rs
+++ b/kingcupspan/src/gateway/configuration/read.rs
@@ -57,13 +57,11 @@
         if self.read_from(self.active.position()).await? != Content::Deleted {
             return Ok(());
         }
-        let mut listing = Listing::default();
-        listing
+        let snapshot = Listing::default()
             .complete(&self.store, CONFIGURATION_PARTITION, ResponseSize::Large)
             .await?;
-        let end = listing.end.unwrap_or_default();
-        self.activate_newer(&listing.records, end);
-        self.active.advance(end);
+        self.activate_newer(&snapshot.records, snapshot.end);
+        self.active.advance(snapshot.end);
         Ok(())
     }
 
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -260,16 +260,20 @@
         }
     }
 
-    /// Reads the records before `own_offset`, the offset of a record of this daemon.
+    /// Reads all records before `own_offset`, the offset of a record of this daemon.
     async fn read_up_to(&self, id: PartitionId, own_offset: u64) -> Result<(), StoreFailure> {
         let mut cursor = self.cursor(id).lock_arc().await;
-        match cursor.next_offset() {
-            Some(next) if next > own_offset => Ok(()),
-            Some(next) if next == own_offset => {
-                cursor.skip_to(next + 1);
-                Ok(())
-            }
-            _ => self.read_next(id, &mut cursor).await,
+        if cursor.next_offset() == Some(own_offset) {
+            cursor.skip_to(own_offset + 1);
+        }
+        let has_read = |next: Option<u64>| next.is_some_and(|next| next > own_offset);
+        if has_read(cursor.next_offset()) {
+            return Ok(());
+        }
+        self.read_next(id, &mut cursor).await?;
+        match has_read(cursor.next_offset()) {
+            true => Ok(()),
+            false => Err(StoreFailure::EndsEarly(own_offset)),
         }
     }
 
--- a/kingcupspan/src/gateway/store/mod.rs
+++ b/kingcupspan/src/gateway/store/mod.rs
@@ -75,6 +75,10 @@
     /// The response cannot be decoded.
     #[error(transparent)]
     Malformed(#[from] StoreError),
+
+    /// A read ended before a record that the store had acknowledged.
+    #[error("read from the store ends before record {0}")]
+    EndsEarly(u64),
 }
 
 /// Size that the response to a call may have.
@@ -371,7 +375,7 @@
         match self {
             Self::Refused(status) => matches!(status, 429 | 503),
             Self::NoResponse(_) | Self::Unreachable => true,
-            Self::Malformed(_) => false,
+            Self::Malformed(_) | Self::EndsEarly(_) => false,
         }
     }
 }
