--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod large_turns;
 mod outages;
 mod quotas;
+mod paged_reads;
 mod rate_limits;
 mod requests;
 mod responses_without_length;
