--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -17,6 +17,7 @@
 use crate::{
     gateway::{
         error_response::{ErrorReason, ErrorResponse},
+        exchange::Exchange,
         serve::{Gateway, Outcome},
         shutdown::InFlightGuard,
     },
@@ -162,6 +163,7 @@
         match gateway.admit(head, info, body, received_at) {
             Ok(mut ex) => {
                 let outcome = gateway.serve(&mut ex, conn).await;
+                record_refusal(gateway, &ex, &outcome);
                 let endpoint = ex.last_endpoint.as_ref().map(ToString::to_string);
                 let route_and_endpoint = (ex.route.name.clone(), endpoint.unwrap_or_default());
                 (outcome, route_and_endpoint, ex.should_close_connection())
@@ -189,6 +191,14 @@
     }
 }
 
+/// Counts a response of this daemon to a request of a workspace.
+fn record_refusal(gateway: &Gateway, ex: &Exchange, outcome: &Outcome) {
+    if let (Some(workspace), Outcome::Failed(response)) = (&ex.workspace, outcome) {
+        let counts = &gateway.workspace_use;
+        counts.record_refusal(workspace, response.reason);
+    }
+}
+
 /// Logs a finished request and records it in the metrics.
 fn record_outcome(
     gateway: &Gateway,
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -28,3 +28,4 @@
 pub mod stored_record;
 pub mod turn_storage;
 pub mod upstream;
+pub mod workspace_use;
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -9,6 +9,7 @@
 
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Response};
+use kingcupspan_core::gateway::routing::Configuration;
 use kingcupspan_platform::settings::Settings;
 use serde_json::json;
 
@@ -34,6 +35,7 @@
         shutdown::Shutdown,
         store::Store,
         upstream::Upstream,
+        workspace_use::WorkspaceUse,
     },
 };
 
@@ -133,6 +135,7 @@
         endpoint_limits,
         blocked_requests,
         last_engines: LastEngines::default(),
+        workspace_use: WorkspaceUse::new(clock),
         domain: settings.domain.clone(),
         metrics,
         shutdown: Arc::new(Shutdown::default()),
@@ -177,6 +180,9 @@
         task::sleep(SWEEP_INTERVAL).await;
         gateway.upstream.sweep(|id| gateway.endpoints.is_listed(id));
         gateway.last_engines.expire();
+        let configuration = gateway.configuration.get();
+        let workspaces = configuration.as_ref().and_then(|c| c.workspaces.as_deref());
+        gateway.workspace_use.expire(workspaces);
         gateway.endpoints.expire();
         gateway.endpoint_limits.expire();
         gateway.blocked_requests.expire();
@@ -228,8 +234,16 @@
     let limits: BTreeMap<String, f64> = limits
         .map(|(id, rate)| (id.to_string(), rate.per_s()))
         .collect();
-    let state = json!({
-        "configuration": gateway.configuration.get(),
+    let configuration = gateway.configuration.get();
+    let workspaces = configuration.as_ref().and_then(|c| c.workspaces.as_deref());
+    let workspaces = workspaces.map(|w| gateway.workspace_use.dump(w));
+    // Digests of keys are shown to nobody.
+    let configuration = configuration.map(|c| Configuration {
+        workspaces: None,
+        ..Configuration::clone(&c)
+    });
+    let mut state = json!({
+        "configuration": configuration,
         "endpoints": endpoints,
         "endpoint_limits_per_s": limits,
         "turns_in_memory": gateway.partitions.cached_turn_count(),
@@ -237,6 +251,9 @@
         "requests_under_way": gateway.shutdown.in_flight(),
         "stopping": gateway.shutdown.is_stopping()
     });
+    if let Some(workspaces) = workspaces {
+        state["workspaces"] = workspaces.into();
+    }
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::JSON);
     res.set_body(state.to_string());
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -45,6 +45,7 @@
         store::Store,
         turn_storage,
         upstream::Upstream,
+        workspace_use::WorkspaceUse,
     },
     http::{
         conn::{self, Conn},
@@ -105,6 +106,9 @@
     /// Engines on which programs last ran.
     pub last_engines: LastEngines,
 
+    /// What workspaces use of this daemon.
+    pub workspace_use: WorkspaceUse,
+
     /// Failure domain of this VM.
     pub domain: String,
 
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kingcupspan_core::gateway::{
-    admission, call::CallInfo, outage, routing::Configuration, workspace,
+    admission, call::CallInfo, outage, routing::Configuration, shares::Contender, workspace,
 };
 
 use super::{Gateway, retry_later};
@@ -94,10 +94,22 @@
         let Some(utilization) = admission::utilization(&engines) else {
             return Ok(());
         };
-        if admission::should_admit(utilization, ex.rank(), rand::random()) {
+        let workspace = ex.workspace_name();
+        let shares = workspace.map(|w| self.workspace_use.shares(w));
+        let (rank, draw) = (ex.rank(), rand::random());
+        let is_admitted = match shares {
+            Some((share_used, shares)) => {
+                let contender = Contender { rank, share_used };
+                shares.should_admit(utilization, contender, draw)
+            }
+            None => admission::should_admit(utilization, rank, draw),
+        };
+        if is_admitted {
             return Ok(());
         }
-        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), rank = ex.rank(), pressure = utilization; "program refused: engines are overloaded");
+        let workspace = workspace.map_or("-", |w| &*w.0);
+        let excess = shares.map_or(0.0, |(share_used, shares)| shares.excess(share_used));
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), workspace, rank, pressure = utilization, excess; "program refused: engines are overloaded");
         Err(ErrorResponse {
             reason: ErrorReason::EnginesOverloaded,
             retry_after: Some(admission::retry_after(rand::random())),
--- a/kingcupspan/tests/gateway/workspaces.rs
+++ b/kingcupspan/tests/gateway/workspaces.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use kingcupspan_core::digest::Digest;
 use kingcupspan_platform::headers::HeaderLookup;
 use kingcupspan_platform_standin::{
     caller::{self, Request},
@@ -232,3 +233,67 @@
     }
     assert!(!fleet.store.topics_with("t1").is_empty());
 }
+
+// Guards against an operator who cannot see what workspaces use, and against digests of keys in
+// the dump.
+#[async_std::test]
+async fn state_dump_shows_workspaces_and_their_use() {
+    let fleet = start_fleet("gateway-workspace-dump", 1).await;
+    let missing = Request::turn("p", "t1", Some("none"), 3_000);
+    for (request, key) in [
+        (Request::plain("/safe/x", "r1"), SOUTH_KEY),
+        (missing, SOUTH_KEY),
+    ] {
+        fleet.send(0, &with_key(request, key)).await;
+    }
+    let dump = fleet.operator_text(0, "/dump").await;
+    let digest = Digest::of(SOUTH_KEY.as_bytes()).to_string();
+    assert!(!dump.contains(&digest), "{dump}");
+    let dump: serde_json::Value = serde_json::from_str(&dump).expect("the dump is JSON");
+    assert_eq!(dump["configuration"]["workspaces"], serde_json::Value::Null);
+    insta::assert_json_snapshot!(dump["workspaces"][1], @r#"
+    {
+      "name": "south",
+      "priority": 1,
+      "quota": null,
+      "refused": {
+        "no such turn": 1
+      },
+      "requests": 2
+    }
+    "#);
+}
+
+// Guards against a dump that changes for deployments without workspaces.
+#[async_std::test]
+async fn state_dump_without_workspaces_names_none() {
+    let fleet = Fleet::start("gateway-workspace-none", 1, 2_000).await;
+    let dump = fleet.operator_text(0, "/dump").await;
+    assert!(dump.contains("turns_in_memory") && !dump.contains("workspaces"));
+}
+
+// Guards against callers of a configuration without workspaces whose header is taken for a key.
+#[async_std::test]
+async fn without_workspaces_the_authorization_is_the_endpoints() {
+    let fleet = Fleet::start("gateway-workspace-forward", 1, 2_000).await;
+    let request = with_key(Request::plain("/safe/x", "r1"), "callers-own");
+    assert_eq!(fleet.send(0, &request).await.status, 200);
+    let executed = executed_requests(&fleet, "r1");
+    let headers = &executed[0].headers;
+    assert_eq!(headers.get("authorization"), Some("Bearer callers-own"));
+    assert_eq!(headers.get("kingcupspan-tenant"), None);
+}
+
+// Guards against a record with a key that two workspaces hold, which would open one to the other.
+#[async_std::test]
+async fn configuration_with_invalid_workspaces_is_not_activated() {
+    let fleet = start_fleet("gateway-workspace-invalid", 1).await;
+    publish(&fleet, 3, &[("north", SOUTH_KEY), ("south", SOUTH_KEY)]);
+    task::sleep(APPLY_TIMEOUT).await;
+    assert_eq!(fleet.configuration_version(0).await, 2);
+    let log = fleet.log(0);
+    assert!(log.contains("/tenants/1/api_keys/0: /tenants/0 holds the same key"));
+    assert!(!log.contains(SOUTH_KEY));
+    let request = with_key(Request::plain("/safe/x", "r1"), NORTH_KEY);
+    assert_eq!(fleet.send(0, &request).await.status, 200);
+}
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -14,13 +14,13 @@
 use crate::gateway::placement::Candidate;
 
 /// Utilization above which some programs of the highest rank are refused.
-const HIGHEST_RANK_UTILIZATION: f64 = 1.0;
+pub(super) const HIGHEST_RANK_UTILIZATION: f64 = 1.0;
 
 /// Utilization above which some programs of all other ranks are refused.
-const OTHER_RANKS_UTILIZATION: f64 = 0.7;
+pub(super) const OTHER_RANKS_UTILIZATION: f64 = 0.7;
 
 /// Increase in utilization over which the refused share grows from none to all.
-const REFUSAL_RANGE_UTILIZATION: f64 = 0.5;
+pub(super) const REFUSAL_RANGE_UTILIZATION: f64 = 0.5;
 
 /// Shortest time after which a refused program should retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -48,12 +48,16 @@
 ///
 /// `draw` is a random number, uniformly distributed in 0..1.
 pub fn should_admit(utilization: f64, rank: u32, draw: f64) -> bool {
+    draw >= refused_share(utilization, rank)
+}
+
+/// Part of the programs of a rank that is refused; below 0 or above 1 if all begin or none does.
+pub(super) fn refused_share(utilization: f64, rank: u32) -> f64 {
     let threshold = match rank {
         0 => HIGHEST_RANK_UTILIZATION,
         _ => OTHER_RANKS_UTILIZATION,
     };
-    let refused_share = (utilization - threshold) / REFUSAL_RANGE_UTILIZATION;
-    draw >= refused_share
+    (utilization - threshold) / REFUSAL_RANGE_UTILIZATION
 }
 
 /// Returns the time after which a refused program should retry.
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -17,5 +17,6 @@
 pub mod rate_limit;
 pub mod route_table;
 pub mod routing;
+pub mod shares;
 pub mod turn_queue;
 pub mod workspace;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod rate_limit;
 mod route_table;
 mod routing;
+mod shares;
 mod turn_queue;
 mod turn_spec;
 mod workspace;
