--- a/kingcupspan/src/gateway/configuration/update.rs
+++ b/kingcupspan/src/gateway/configuration/update.rs
@@ -71,8 +71,7 @@
     /// Returns the configuration after the changes.
     pub(super) fn apply_to(&self, active: Option<&Versioned>) -> Result<Versioned, UpdateError> {
         let empty = Configuration::default();
-        let has_workspaces = active.is_some_and(|a| a.configuration.workspaces.is_some());
-        if has_workspaces && self.changes.workspaces.is_none() {
+        if active.is_some_and(|a| self.changes.drop_workspaces_of(&a.configuration)) {
             return Err(UpdateError::NoWorkspaces(self.changes.version));
         }
         let base = match self.changes.base == empty.version {
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 
 mod budgets;
 mod durable_turns;
+mod encodings;
 mod endless_responses;
 mod fleet;
 mod large_configurations;
--- a/kingcupspan_core/src/gateway/routing.rs
+++ b/kingcupspan_core/src/gateway/routing.rs
@@ -217,6 +217,14 @@
     pub workspaces: Option<WorkspaceChanges>,
 }
 
+impl ConfigurationChanges {
+    /// Whether the changes leave no workspaces although `active` has some, as those of a daemon
+    /// of a former version do, which does not know workspaces.
+    pub fn drop_workspaces_of(&self, active: &Configuration) -> bool {
+        active.workspaces.is_some() && self.workspaces.is_none()
+    }
+}
+
 impl Configuration {
     /// Returns the route of the host with the longest prefix that matches the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/kingcupspan_core/tests/gateway/workspace.rs
+++ b/kingcupspan_core/tests/gateway/workspace.rs
@@ -198,6 +198,23 @@
     );
 }
 
+// Guards against daemons that take a configuration from one of a former version, which drops the
+// workspaces, and then serve everybody.
+#[test]
+fn changes_of_a_former_version_would_drop_the_workspaces() {
+    let some = || Some(vec![workspace("north", &["k"], None)]);
+    let (none, old, new) = (
+        configuration(1, None),
+        configuration(1, some()),
+        configuration(2, some()),
+    );
+    let former = configuration(2, None).changes_since(&none);
+    assert!(former.drop_workspaces_of(&old));
+    assert!(!former.drop_workspaces_of(&none));
+    assert!(!new.changes_since(&old).drop_workspaces_of(&old));
+    assert!(!new.changes_since(&none).drop_workspaces_of(&none));
+}
+
 // Guards against keys of programs, turns and crashes that change for deployments without
 // workspaces.
 #[test]
