--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -47,6 +47,7 @@
         store::Store,
         turn_storage,
         upstream::Upstream,
+        workspace_use::WorkspaceUse,
     },
     http::{
         conn::{self, Conn},
@@ -110,6 +111,9 @@
     /// Engines on which programs last ran.
     pub last_engines: LastEngines,
 
+    /// What workspaces use of this daemon.
+    pub workspace_use: WorkspaceUse,
+
     /// Failure domain of this VM.
     pub domain: String,
 
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -18,5 +18,6 @@
 pub mod rate_limit;
 pub mod route_table;
 pub mod routing;
+pub mod shares;
 pub mod turn_queue;
 pub mod workspace;
