--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -103,7 +103,9 @@
             PeerResponse::Noted
         }
         PeerRequest::GrantQuota(question) => {
-            service.peers.note_request_from(&question.domain);
+            if question.domain == service.peers.local.domain {
+                service.peers.note_request_from_own_domain();
+            }
             let answer = Arc::clone(&service.quotas.homes).answer(question).await;
             PeerResponse::QuotaGranted(answer)
         }
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -248,10 +248,15 @@
         domains.into_iter().collect()
     }
 
-    /// Records that a daemon of a failure domain has sent a request.
-    pub fn note_request_from(&self, domain: &str) {
-        let mut last_responses = self.last_responses.lock();
-        last_responses.insert(domain.to_owned(), Instant::now());
+    /// Whether the member list has been read.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.load(Ordering::SeqCst)
+    }
+
+    /// Records that another daemon of this failure domain has sent a request.
+    pub fn note_request_from_own_domain(&self) {
+        let domain = self.local.domain.clone();
+        self.last_responses.lock().insert(domain, Instant::now());
     }
 
     /// Whether another daemon of this failure domain was heard of within `span`, or there is none.
--- a/kingcupspan/src/gateway/quotas/homes.rs
+++ b/kingcupspan/src/gateway/quotas/homes.rs
@@ -6,7 +6,7 @@
 use kingcupspan_core::{
     gateway::{
         incarnation::Incarnation,
-        quota::{Grant, Lenders, Moment, Part},
+        quota::{Grant, Granted, Home, Moment, Part},
         workspace::{Quota, WorkspaceName},
     },
     id::MonoMs,
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 
-use super::home_state::HomeState;
+use super::{home_state::HomeState, ranking::Ranking};
 use crate::{
     clock::Clock,
     gateway::peers::{Peer, PeerRequest, PeerResponse, Peers, QuotaAnswer, QuotaQuestion},
@@ -23,6 +23,15 @@
 /// Time for which a question waits for tokens of other failure domains.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Time for which the answer to a question that was passed on is waited for.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Number of daemons from which a new home claims a workspace until one responds.
+const MAX_CLAIMS: usize = 4;
+
+/// Pause between two claims.
+const CLAIM_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time for which a former home passes questions on to its successor, in milliseconds.
 const SUCCESSION_MS: u64 = 8_000;
 
@@ -49,6 +58,9 @@
     /// Tokens by what happened to them.
     tokens: IntCounterVec,
 
+    /// Daemons in the order in which they become home.
+    ranking: Ranking,
+
     states: Mutex<HashMap<WorkspaceName, Arc<HomeState>>>,
     successors: Mutex<HashMap<WorkspaceName, Successor>>,
 
@@ -69,6 +81,7 @@
             clock,
             listed_domains,
             tokens,
+            ranking: Ranking::default(),
             states: Mutex::default(),
             successors: Mutex::default(),
             last_active: Mutex::new(clock.moment()),
@@ -87,22 +100,35 @@
     /// Answers a question for tokens; `None` if this daemon cannot tell.
     pub async fn answer(self: Arc<Self>, question: QuotaQuestion) -> Option<QuotaAnswer> {
         self.note_activity();
-        if let Some(successor) = self.successor(&question.workspace) {
-            if question.is_forwarded {
-                return None;
-            }
-            let answer = self.forward(&successor, &question).await;
-            if answer.is_some() {
-                return answer;
+        if !self.peers.is_listed() {
+            // Every daemon would be the first in the workspace's order.
+            return None;
+        }
+        let has_resigned = self
+            .successor(&question.workspace)
+            .is_some_and(|s| !self.is_local(&s));
+        if question.is_forwarded && has_resigned {
+            return None;
+        }
+        if !question.is_forwarded
+            && let Some(home) = self.better_home(&question.workspace)
+        {
+            if let Some(answer) = self.forward(&home, &question).await {
+                return Some(answer);
             }
             self.resume(&question);
         }
+        let is_isolated = !self.peers.hears_own_domain(DOMAIN_HEARD_WITHIN).await;
         let state = self.state(&question);
+        if is_isolated {
+            state.home.lock().bucket.restrain(self.clock.mono());
+        }
         self.check_former_home(&state, question.former_home.as_ref());
         if question.domain != self.peers.local.domain {
             return Some(self.lend(&state, &question));
         }
-        Some(self.grant(&state, &question).await)
+        let answer = self.grant(&state, &question, is_isolated).await;
+        (answer.tokens > 0 || !is_isolated).then_some(answer)
     }
 
     /// Passes the home of a workspace on; returns the daemon to which questions are passed on.
@@ -110,8 +136,9 @@
         if let Some(earlier) = self.successor(&workspace) {
             return earlier;
         }
-        log::info!(workspace = &*workspace.0, successor = successor.vm.as_str(); "another daemon has become home of the workspace");
-        self.states.lock().remove(&workspace);
+        if self.states.lock().remove(&workspace).is_some() {
+            log::info!(workspace = &*workspace.0, successor = successor.vm.as_str(); "another daemon has become home of the workspace");
+        }
         self.set_successor(workspace, successor.clone());
         successor
     }
@@ -121,51 +148,62 @@
         self.note_activity();
         let now = self.clock.mono();
         self.successors.lock().retain(|_, s| now < s.until);
+        self.ranking.expire();
     }
 
-    /// Grants tokens to a daemon of this failure domain.
+    /// Grants tokens to a daemon of this failure domain; only borrowed ones if this daemon is
+    /// isolated, since another home may have taken over.
     async fn grant(
         self: &Arc<Self>,
         state: &Arc<HomeState>,
         question: &QuotaQuestion,
+        is_isolated: bool,
     ) -> QuotaAnswer {
-        if !self.peers.hears_own_domain(DOMAIN_HEARD_WITHIN).await {
-            let now = self.clock.mono();
-            state.tokens.lock().bucket.keep_restrained(now);
-        }
+        let wanted = question.wanted;
+        let grant = |home: &mut Home, now: &Moment| match is_isolated {
+            true => home.grant_borrowed(wanted, now),
+            false => home.grant(wanted, now),
+        };
         let now = self.clock.moment();
-        let home = &self.peers.local.incarnation;
-        let (mut answer, missing) = {
-            let mut tokens = state.tokens.lock();
-            tokens.bucket.note_wanted(question.wanted, now.mono);
-            let answer = tokens.grant(question.wanted, home, &now);
-            (answer, tokens.missing_ahead(&now))
+        let (mut granted, missing) = {
+            let mut home = state.home.lock();
+            home.bucket.note_wanted(wanted, now.mono);
+            (grant(&mut home, &now), home.missing_ahead(&now))
         };
-        match answer.tokens {
-            0 => {
-                let loan = task::spawn(Arc::clone(self).borrow(Arc::clone(state), question.wanted));
-                // The loan serves later questions if it comes too late for this one.
-                let _ = future::timeout(LOAN_TIMEOUT, loan).await;
-                let now = self.clock.moment();
-                answer = state.tokens.lock().grant(question.wanted, home, &now);
-            }
-            _ if missing > 0 => {
-                task::spawn(Arc::clone(self).borrow(Arc::clone(state), 0));
-            }
-            _ => {}
+        if granted.tokens == 0 {
+            let loan = task::spawn(Arc::clone(self).borrow(Arc::clone(state), wanted));
+            // The loan serves later questions if it comes too late for this one.
+            let _ = future::timeout(LOAN_TIMEOUT, loan).await;
+            granted = grant(&mut state.home.lock(), &self.clock.moment());
+        } else if missing > 0 {
+            task::spawn(Arc::clone(self).borrow(Arc::clone(state), 0));
         }
-        answer.total_use_per_s = self.total_use(state, answer.use_per_s);
-        answer
+        self.answer_with(&mut state.home.lock(), granted)
     }
 
     /// Lends tokens to another failure domain.
     fn lend(&self, state: &HomeState, question: &QuotaQuestion) -> QuotaAnswer {
-        let home = &self.peers.local.incarnation;
         let now = self.clock.moment();
-        let mut tokens = state.tokens.lock();
-        let answer = tokens.lend(question.wanted, home, &now);
-        self.count("lent", answer.tokens);
-        answer
+        let mut home = state.home.lock();
+        let lent = home.lend(question.wanted, &now);
+        self.count("lent", lent.tokens);
+        self.answer_with(&mut home, lent)
+    }
+
+    /// Answer with tokens of a home.
+    fn answer_with(&self, home: &mut Home, granted: Granted) -> QuotaAnswer {
+        let now = self.clock.mono();
+        let domains = 1 + self.other_domains().len();
+        let use_per_s = home.bucket.use_per_s(now);
+        QuotaAnswer {
+            home: self.peers.local.incarnation.clone(),
+            tokens: granted.tokens,
+            validity_ms: granted.validity_ms,
+            retry_ms: home.bucket.refusal(now).retry_ms,
+            level: home.bucket.level(now),
+            use_per_s,
+            total_use_per_s: home.lenders.total_use(use_per_s, domains, now),
+        }
     }
 
     /// Borrows tokens of other failure domains until `waiting` requests have some; one task at a
@@ -174,18 +212,12 @@
         let _borrowing = state.borrowing.lock().await;
         let domains = self.other_domains();
         let order: Vec<String> = {
-            let tokens = state.tokens.lock();
-            let order = tokens.lenders.order(&domains, self.clock.mono());
+            let home = state.home.lock();
+            let order = home.lenders.order(&domains, self.clock.mono());
             order.into_iter().map(str::to_owned).collect()
         };
         for domain in order {
-            let now = self.clock.moment();
-            let wanted = {
-                let mut tokens = state.tokens.lock();
-                let held = tokens.loans.tokens(&now) + tokens.bucket.level(now.mono) as u32;
-                let missing_per_s = tokens.bucket.missing_per_s(now.mono);
-                Lenders::wanted(waiting, missing_per_s).saturating_sub(held)
-            };
+            let wanted = state.home.lock().missing(waiting, &self.clock.moment());
             if wanted == 0 {
                 return;
             }
@@ -205,10 +237,10 @@
         };
         state.note_other_home(domain, answer.as_ref().map(|a| &a.home));
         let now = self.clock.mono();
-        let mut tokens = state.tokens.lock();
+        let mut borrower = state.home.lock();
         let Some(answer) = answer else {
-            tokens.lenders.note_unresponsive(domain, now);
-            drop(tokens);
+            borrower.lenders.note_unresponsive(domain, now);
+            drop(borrower);
             self.count("no response", 1);
             return;
         };
@@ -219,13 +251,13 @@
             validity_ms,
             ..
         } = answer;
-        tokens.lenders.note(domain, lent, level, use_per_s, now);
-        tokens.loans.add(Grant {
+        borrower.lenders.note(domain, lent, level, use_per_s, now);
+        borrower.loans.add(Grant {
             tokens: lent,
             asked_at,
             validity_ms,
         });
-        drop(tokens);
+        drop(borrower);
         self.count("borrowed", lent);
     }
 
@@ -237,7 +269,7 @@
         home: &Peer,
         wanted: u32,
     ) -> QuotaQuestion {
-        let (version, quota) = state.tokens.lock().limit();
+        let (version, quota) = state.home.lock().limit();
         QuotaQuestion {
             workspace: state.workspace.clone(),
             version,
@@ -249,11 +281,42 @@
         }
     }
 
-    /// Passes a question on to the daemon that has taken over.
-    async fn forward(&self, successor: &Peer, question: &QuotaQuestion) -> Option<QuotaAnswer> {
+    /// Another daemon that is home of a workspace as far as this one knows: one that has taken over,
+    /// or the first in the workspace's order.
+    fn better_home(&self, workspace: &WorkspaceName) -> Option<Peer> {
+        let first = || {
+            let domain = &self.peers.local.domain;
+            let mut ranked = self.ranking.ranked(&self.peers, domain, workspace);
+            ranked.truncate(1);
+            ranked.pop()
+        };
+        let home = self.successor(workspace).or_else(first)?;
+        (!self.is_local(&home)).then_some(home)
+    }
+
+    /// Passes a question on to the home; this daemon is no home any more once it has answered.
+    async fn forward(
+        self: &Arc<Self>,
+        home: &Peer,
+        question: &QuotaQuestion,
+    ) -> Option<QuotaAnswer> {
         let mut question = question.clone();
         question.is_forwarded = true;
-        self.ask(successor, &question).await
+        let state = self.states.lock().get(&question.workspace).cloned();
+        if state.is_some() {
+            question.former_home = Some(self.peers.local.incarnation.clone());
+        }
+        let (homes, home) = (Arc::clone(self), home.clone());
+        let workspace = question.workspace.clone();
+        let exchange = task::spawn(async move { homes.ask(&home, &question).await });
+        let answer = future::timeout(FORWARD_TIMEOUT, exchange)
+            .await
+            .ok()
+            .flatten();
+        if answer.is_some() {
+            self.states.lock().remove(&workspace);
+        }
+        answer
     }
 
     /// Asks another home; `None` if it does not respond.
@@ -271,7 +334,7 @@
             return;
         };
         let now = self.clock.mono();
-        if !state.tokens.lock().bucket.take_over(former, now) {
+        if !state.home.lock().bucket.take_over(former, now) {
             return;
         }
         log::info!(workspace = &*state.workspace.0, former = &*former.0; "this daemon has become home of the workspace");
@@ -280,29 +343,56 @@
         }
     }
 
-    /// Tells a former home that this daemon has taken over; grants at the full rate once it knows.
-    async fn claim(self: Arc<Self>, state: Arc<HomeState>, former: Peer) {
+    /// Tells a daemon that this one is home; grants at the full rate once the other one knows.
+    /// Returns false if the other one does not respond.
+    async fn claim(self: Arc<Self>, state: Arc<HomeState>, former: Peer) -> bool {
         let request = PeerRequest::TakeOverQuota {
             workspace: state.workspace.clone(),
             successor: self.peers.local.clone(),
         };
         let Ok(PeerResponse::QuotaHome(home)) = self.peers.send(&former, &request).await else {
-            return;
+            return false;
         };
-        if home.vm == self.peers.local.vm {
+        if self.is_local(&home) {
             let now = self.clock.mono();
-            state.tokens.lock().bucket.end_restraint(now);
-            return;
+            state.home.lock().bucket.end_restraint(now);
+        } else {
+            self.states.lock().remove(&state.workspace);
         }
-        self.states.lock().remove(&state.workspace);
         self.set_successor(state.workspace.clone(), home);
+        true
+    }
+
+    /// Claims a workspace from the daemon that others ask if they do not reach this one.
+    async fn claim_from_next(self: Arc<Self>, state: Arc<HomeState>) {
+        let domain = &self.peers.local.domain;
+        for _ in 0..MAX_CLAIMS {
+            let ranked = self.ranking.ranked(&self.peers, domain, &state.workspace);
+            let Some(next) = ranked.into_iter().find(|p| !self.is_local(p)) else {
+                let now = self.clock.mono();
+                return state.home.lock().bucket.end_restraint(now);
+            };
+            if Arc::clone(&self).claim(Arc::clone(&state), next).await {
+                return;
+            }
+            self.ranking.forget(&state.workspace);
+            task::sleep(CLAIM_PAUSE).await;
+        }
+    }
+
+    /// Whether a daemon is this one.
+    fn is_local(&self, peer: &Peer) -> bool {
+        peer.vm == self.peers.local.vm
     }
 
     /// Becomes home again, since the successor does not respond.
-    fn resume(&self, question: &QuotaQuestion) {
-        self.successors.lock().remove(&question.workspace);
-        let now = self.clock.mono();
-        self.state(question).tokens.lock().bucket.restrain(now);
+    fn resume(self: &Arc<Self>, question: &QuotaQuestion) {
+        self.ranking.forget(&question.workspace);
+        let former = self.successors.lock().remove(&question.workspace);
+        if former.is_some() {
+            let now = self.clock.mono();
+            self.state(question).home.lock().bucket.restrain(now);
+        }
     }
 
     /// The daemon to which questions for a workspace are passed on.
@@ -321,17 +411,20 @@
     }
 
     /// State of a workspace, whose limit is that of the newest configuration.
-    fn state(&self, question: &QuotaQuestion) -> Arc<HomeState> {
+    fn state(self: &Arc<Self>, question: &QuotaQuestion) -> Arc<HomeState> {
         let now = self.clock.mono();
         let part = self.part(&question.quota);
         let mut states = self.states.lock();
         if let Some(state) = states.get(&question.workspace) {
-            let mut tokens = state.tokens.lock();
-            tokens.set_limit(question.version, question.quota, part, now);
+            let mut home = state.home.lock();
+            home.set_limit(question.version, question.quota, part, now);
             return Arc::clone(state);
         }
         let state = Arc::new(HomeState::new(question, part, now));
         states.insert(question.workspace.clone(), Arc::clone(&state));
+        drop(states);
+        state.home.lock().bucket.reduce(now);
+        task::spawn(Arc::clone(self).claim_from_next(Arc::clone(&state)));
         state
     }
 
@@ -347,7 +440,7 @@
         }
         log::warn!(ms = paused_ms; "the process has paused; granting few tokens of quotas for a while");
         for state in self.states.lock().values() {
-            state.tokens.lock().bucket.restrain(now.mono);
+            state.home.lock().bucket.restrain(now.mono);
         }
     }
 
@@ -361,13 +454,6 @@
         domains
     }
 
-    /// Tokens a second that all failure domains use.
-    fn total_use(&self, state: &HomeState, own: f64) -> f64 {
-        let domains = 1 + self.other_domains().len();
-        let tokens = state.tokens.lock();
-        tokens.lenders.total_use(own, domains, self.clock.mono())
-    }
-
     /// Counts tokens, or questions without them.
     fn count(&self, event: &str, tokens: u32) {
         let counter = self.tokens.with_label_values(&[event]);
--- a/kingcupspan/src/gateway/quotas/mod.rs
+++ b/kingcupspan/src/gateway/quotas/mod.rs
@@ -5,6 +5,7 @@
 
 mod home_state;
 mod homes;
+mod ranking;
 mod workspace_state;
 
 use std::{
--- a/kingcupspan_core/src/gateway/quota/bucket.rs
+++ b/kingcupspan_core/src/gateway/quota/bucket.rs
@@ -11,12 +11,16 @@
 /// milliseconds.
 const WINDOW_PASSED_MS: u64 = 6_000;
 
-/// Time for which a home that takes over grants at a reduced rate, in milliseconds; longer than a
-/// former home needs to notice that it is cut off, and its tokens to expire.
-pub const TAKEOVER_MS: u64 = 3_000;
+/// Time for which a home grants at a reduced rate that has taken over from one that does not
+/// respond, in milliseconds; longer than the former one needs to notice that it is cut off.
+const TAKEOVER_MS: u64 = 3_000;
 
-/// Share of the rate at which a home grants that takes over.
-const TAKEOVER_SHARE: f64 = 0.1;
+/// Time for which a home grants at a reduced rate after others may have taken over, in
+/// milliseconds; longer than daemons pass it over, so that they have told it of the other home.
+const RETURN_MS: u64 = 8_000;
+
+/// Share of the rate at which a home grants while another one may grant beside it.
+const REDUCED_SHARE: f64 = 0.03;
 
 /// Time for which a former home is remembered, in milliseconds.
 const FORMER_HOME_RETENTION_MS: u64 = 10_000;
@@ -95,28 +99,23 @@
         self.level = self.level.min(part.capacity);
     }
 
-    /// Drops all tokens and reduces the rate for a while, since another home may grant beside this
-    /// one.
+    /// Drops all tokens and reduces the rate, since another home may have taken over.
     pub fn restrain(&mut self, now: MonoMs) {
         self.fill(now);
         self.level = 0.0;
-        self.reduced_until = MonoMs(now.0 + TAKEOVER_MS);
+        self.reduced_until = MonoMs(now.0 + RETURN_MS);
     }
 
-    /// Ends the reduction of the rate, since the former home grants nothing any more.
-    pub fn end_restraint(&mut self, now: MonoMs) {
+    /// Reduces the rate until other homes are known to grant nothing.
+    pub fn reduce(&mut self, now: MonoMs) {
         self.fill(now);
-        self.reduced_until = now;
+        self.reduced_until = self.reduced_until.max(MonoMs(now.0 + TAKEOVER_MS));
     }
 
-    /// Keeps the rate reduced while no other daemon of this domain is heard of: another home may
-    /// have taken over.
-    pub fn keep_restrained(&mut self, now: MonoMs) {
-        if now >= self.reduced_until {
-            self.restrain(now);
-        }
+    /// Ends the reduction of the rate, since the former home grants nothing any more.
+    pub fn end_restraint(&mut self, now: MonoMs) {
         self.fill(now);
-        self.reduced_until = MonoMs(now.0 + TAKEOVER_MS);
+        self.reduced_until = now;
     }
 
     /// Takes over from a home that has lately answered; returns false if it already has.
@@ -127,7 +126,9 @@
         if is_known {
             return false;
         }
-        self.restrain(now);
+        self.fill(now);
+        self.level = 0.0;
+        self.reduce(now);
         self.former_home = Some((former.clone(), now));
         true
     }
@@ -197,7 +198,7 @@
             .clamp(self.filled_at.0, now.0.max(self.filled_at.0));
         let reduced_ms = reduced_end - self.filled_at.0;
         let full_ms = now.0.saturating_sub(reduced_end);
-        let weighted_ms = reduced_ms as f64 * TAKEOVER_SHARE + full_ms as f64;
+        let weighted_ms = reduced_ms as f64 * REDUCED_SHARE + full_ms as f64;
         self.level += self.part.per_s * weighted_ms / 1_000.0;
         self.level = self.level.min(self.part.capacity);
         self.filled_at = MonoMs(now.0.max(self.filled_at.0));
--- a/kingcupspan_core/src/gateway/quota/mod.rs
+++ b/kingcupspan_core/src/gateway/quota/mod.rs
@@ -12,13 +12,15 @@
 
 mod allowance;
 mod bucket;
+mod home;
 mod lending;
 mod meter;
 mod moment;
 
 pub use self::{
     allowance::{Allowance, Grant, Token},
-    bucket::{Bucket, Refusal, TAKEOVER_MS},
+    bucket::{Bucket, Refusal},
+    home::{Granted, Home},
     lending::{Lenders, Loans},
     meter::Meter,
     moment::Moment,
