--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -49,14 +49,11 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store and others that
-    /// are kept where they are counted.
-    pub fn new(traffic: &Traffic, others: &[&IntCounterVec]) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store and of the
+    /// reservations at endpoints.
+    pub fn new(traffic: &Traffic, reservations: &IntCounterVec) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes]
-            .into_iter()
-            .chain(others.iter().copied())
-        {
+        for counters in [&traffic.calls, &traffic.bytes, reservations] {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
@@ -96,6 +93,11 @@
         }
     }
 
+    /// Adds counters that another part of the daemon keeps.
+    pub fn add(&self, counters: &IntCounterVec) {
+        register(&self.registry, Ok(counters.clone()));
+    }
+
     /// Counts a finished request and records its duration.
     pub fn record_request(&self, status: u16, reason: &str, duration: Duration) {
         let labels = [&status.to_string(), reason];
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -264,17 +264,21 @@
         }
     }
 
-    /// Reads the records before those at `own`, the records of one call of this daemon, which are
+    /// Reads all records before those at `own`, the records of one call of this daemon, which are
     /// known already.
     async fn read_up_to(&self, id: PartitionId, own: Range<u64>) -> Result<(), StoreFailure> {
         let mut cursor = self.cursor(id).lock_arc().await;
-        match cursor.next_offset() {
-            Some(next) if next >= own.end => Ok(()),
-            Some(next) if own.contains(&next) => {
-                cursor.skip_to(own.end);
-                Ok(())
-            }
-            _ => self.read_next(id, &mut cursor).await,
+        if cursor.next_offset().is_some_and(|next| own.contains(&next)) {
+            cursor.skip_to(own.end);
+        }
+        let has_read = |next: Option<u64>| next.is_some_and(|next| next >= own.end);
+        if has_read(cursor.next_offset()) {
+            return Ok(());
+        }
+        self.read_next(id, &mut cursor).await?;
+        match has_read(cursor.next_offset()) {
+            true => Ok(()),
+            false => Err(StoreFailure::EndsEarly(own.end)),
         }
     }
 
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -114,6 +114,17 @@
             let allocations = service.allocation_homes.allocations_as_home(&program);
             PeerResponse::ProgramAllocations(allocations.await)
         }
+        PeerRequest::GrantQuota(question) => {
+            if question.domain == service.peers.local.domain {
+                service.peers.note_request_from_own_domain();
+            }
+            let answer = Arc::clone(&service.quotas.homes).answer(question).await;
+            PeerResponse::QuotaGranted(answer)
+        }
+        PeerRequest::TakeOverQuota {
+            workspace,
+            successor,
+        } => PeerResponse::QuotaHome(service.quotas.homes.resign(workspace, successor)),
         PeerRequest::Call { path, body } => {
             PeerResponse::Called(service.store.proxy_call(path, body).await)
         }
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -9,11 +9,13 @@
         history::Turn,
         incarnation::Incarnation,
         rate_limit::{Claim, RequestRate, Reservation},
+        workspace::{Quota, WorkspaceName},
     },
     id::Version,
 };
 use serde::{Deserialize, Serialize};
 
+use super::Peer;
 use crate::gateway::{
     allocation_homes::{AllocationOutcome, AllocationRequest, ProgramAllocations},
     configuration::Update,
@@ -56,6 +58,56 @@
     pub has_granted: bool,
 }
 
+/// Question for tokens of a workspace's quota.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuotaQuestion {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+
+    /// Version of the configuration that has the limit.
+    pub version: Version,
+
+    /// Limit of the workspace.
+    pub quota: Quota,
+
+    /// Failure domain of the sender; a home of another one borrows.
+    pub domain: String,
+
+    /// Number of tokens wanted.
+    pub wanted: u32,
+
+    /// Another home that has lately answered the sender.
+    pub former_home: Option<Incarnation>,
+
+    /// Whether the sender passes the question on for another daemon.
+    pub is_forwarded: bool,
+}
+
+/// Answer to a question for tokens of a quota.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// Home that answers.
+    pub home: Incarnation,
+
+    /// Number of tokens granted.
+    pub tokens: u32,
+
+    /// Time from the question within which the tokens have to be spent, in milliseconds.
+    pub validity_ms: u64,
+
+    /// Time after which there are likely to be tokens again, in milliseconds.
+    pub retry_ms: u64,
+
+    /// Tokens left in the home's bucket.
+    pub level: f64,
+
+    /// Tokens a second that the home's failure domain uses.
+    pub use_per_s: f64,
+
+    /// Tokens a second that all failure domains use, as far as the home knows.
+    pub total_use_per_s: f64,
+}
+
 /// Request to a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -163,6 +215,19 @@
 
     /// Asks the home of a program's allocations for all of them.
     ProgramAllocations(ProgramKey),
+
+    /// Asks the home of a workspace for tokens of its quota.
+    GrantQuota(QuotaQuestion),
+
+    /// Tells a home of a workspace that the sender has become its home, so that the recipient
+    /// passes questions on.
+    TakeOverQuota {
+        /// The workspace.
+        workspace: WorkspaceName,
+
+        /// The sender.
+        successor: Peer,
+    },
 }
 
 impl PeerRequest {
@@ -182,6 +247,8 @@
             Self::Allocate(_) => "allocate",
             Self::Settle { .. } => "settle",
             Self::ProgramAllocations(_) => "program allocations",
+            Self::GrantQuota(_) => "grant quota",
+            Self::TakeOverQuota { .. } => "take over quota",
         }
     }
 
@@ -195,6 +262,8 @@
                 | Self::Allocate(_)
                 | Self::Settle { .. }
                 | Self::ProgramAllocations(_)
+                | Self::GrantQuota(_)
+                | Self::TakeOverQuota { .. }
         )
     }
 }
@@ -260,4 +329,10 @@
 
     /// Response to [`PeerRequest::ProgramAllocations`]; `None` if the store cannot be read.
     ProgramAllocations(Option<ProgramAllocations>),
+
+    /// Response to [`PeerRequest::GrantQuota`]; `None` if the peer cannot tell.
+    QuotaGranted(Option<QuotaAnswer>),
+
+    /// Response to [`PeerRequest::TakeOverQuota`]: the home to which the peer passes questions on.
+    QuotaHome(Peer),
 }
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod authenticate;
 mod choose;
+mod quota;
 mod refuse;
 mod send;
 
@@ -19,6 +20,7 @@
         history::Turn,
         outage,
         routing::RouteKind,
+        workspace,
     },
 };
 
@@ -40,11 +42,13 @@
         metrics::Metrics,
         partitions::{Partitions, TurnToStore},
         peers::Peers,
+        quotas::Quotas,
         relay,
         shutdown::Shutdown,
         store::Store,
         turn_storage,
         upstream::Upstream,
+        workspace_use::WorkspaceUse,
     },
     http::{
         conn::{self, Conn},
@@ -102,12 +106,18 @@
     /// Rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
 
+    /// Quotas of workspaces.
+    pub quotas: Arc<Quotas>,
+
     /// Requests blocked because they crash endpoints.
     pub blocked_requests: Arc<BlockedRequests>,
 
     /// Engines on which programs last ran.
     pub last_engines: LastEngines,
 
+    /// What workspaces use of this daemon.
+    pub workspace_use: WorkspaceUse,
+
     /// Failure domain of this VM.
     pub domain: String,
 
@@ -178,10 +188,12 @@
             .ok_or_else(|| self.refuse_without_route(&info, &configuration))?;
         let route = Arc::clone(route);
         let workspace = self.authenticate(&head, &info, &configuration, &route)?;
+        let name = workspace.as_ref().map(|w| &w.name);
         let id = info.id.clone().ok_or(ErrorReason::MalformedRequest)?;
+        let info = info.within(name);
         if self
             .blocked_requests
-            .is_blocked(&head.method, &head.target, &body)
+            .is_blocked(name, &head.method, &head.target, &body)
         {
             return Err(ErrorReason::CrashesEndpoints.into());
         }
@@ -200,6 +212,7 @@
             head,
             body,
             info,
+            turn_id: id.within(name),
             id,
             configuration,
             workspace,
@@ -207,6 +220,7 @@
             service,
             history: Vec::new(),
             reservation: None,
+            quota_token: None,
             progress: Progress::NotSent,
             last_endpoint: None,
             refused_on: Vec::new(),
@@ -236,7 +250,9 @@
             None
         };
         let work = async { Some(self.process(ex, caller).await) };
-        match future::timeout(remaining, work.or(disconnected)).await {
+        let result = future::timeout(remaining, work.or(disconnected)).await;
+        self.return_quota(ex);
+        match result {
             Ok(Some(Ok(status))) => Outcome::Answered(status),
             Ok(Some(Err(Failure::Failed(response)))) => Outcome::Failed(response),
             Ok(Some(Err(Failure::Partial(reason)))) => Outcome::Partial(reason),
@@ -255,6 +271,7 @@
         self.refuse_late_in_shutdown(ex)?;
         self.refuse_if_cut_off(ex)?;
         self.refuse_in_outage(ex)?;
+        self.reserve_quota(ex).await?;
         self.admit_program(ex)?;
         self.load_history(ex).await?;
         self.reserve_tokens(ex).await?;
@@ -287,8 +304,9 @@
                 Ok(())
             }
             Err(HistoryError::Unknown(missing)) => {
-                log::warn!(request = &*ex.id.0, missing = &*missing.0; "previous turn does not exist");
-                Err(ErrorReason::UnknownTurn.into())
+                let missing = workspace::readable(&missing.0);
+                log::warn!(request = &*ex.id.0, missing = &*missing; "previous turn does not exist");
+                Err(self.refuse_without_turn(ex))
             }
             Err(e) => {
                 log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "cannot load the history of the turn");
@@ -331,7 +349,7 @@
             ReserveError::AllReserved(_) => ErrorReason::BudgetReserved,
             ReserveError::StoreUnavailable(_) => ErrorReason::StoreUnreachable,
         };
-        log::info!(request = &*ex.id.0, program = &*program.program.0, budget, most = token_request.max_tokens, error = e.to_string().as_str(); "cannot reserve tokens for the turn");
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), budget, most = token_request.max_tokens, error = e.to_string().as_str(); "cannot reserve tokens for the turn");
         Err(match reason {
             ErrorReason::BudgetExhausted => reason.into(),
             ErrorReason::StoreUnreachable => ErrorResponse {
@@ -353,7 +371,8 @@
         let reservation = ex.reservation.take_if(|_| is_success);
         if response.turn.is_some() || reservation.is_some() {
             let started_at = Instant::now();
-            self.store_outcome(&ex.id, response.turn, reservation).await;
+            self.store_outcome(&ex.turn_id, response.turn, reservation)
+                .await;
             let held = started_at.elapsed();
             self.metrics.held_ends_s.observe(held.as_secs_f64());
             if held > LONG_HOLD {
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupspan_core::gateway::{admission, call::CallInfo, outage, routing::Configuration};
+use kingcupspan_core::gateway::{
+    admission, call::CallInfo, outage, routing::Configuration, shares::Contender, workspace,
+};
 
 use super::{Gateway, retry_later};
 use crate::gateway::{
@@ -31,6 +33,15 @@
         }
     }
 
+    /// Returns the response to a turn whose previous turn its workspace does not have: a newer
+    /// configuration may give the caller's key to another workspace, which has it.
+    pub(super) fn refuse_without_turn(&self, ex: &Exchange) -> ErrorResponse {
+        match ex.workspace.is_none() || self.configuration.is_certain() {
+            true => ErrorReason::UnknownTurn.into(),
+            false => retry_later(ErrorReason::ConfigurationOutdated),
+        }
+    }
+
     /// Refuses a request that the end of a graceful shutdown might cut; other daemons can serve it.
     pub(super) fn refuse_late_in_shutdown(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         if !self.shutdown.may_cut(ex.deadline) {
@@ -83,10 +94,22 @@
         let Some(utilization) = admission::utilization(&engines) else {
             return Ok(());
         };
-        if admission::should_admit(utilization, ex.route.priority, rand::random()) {
+        let workspace = ex.workspace_name();
+        let shares = workspace.map(|w| self.workspace_use.shares(w));
+        let (rank, draw) = (ex.rank(), rand::random());
+        let is_admitted = match shares {
+            Some((share_used, shares)) => {
+                let contender = Contender { rank, share_used };
+                shares.should_admit(utilization, contender, draw)
+            }
+            None => admission::should_admit(utilization, rank, draw),
+        };
+        if is_admitted {
             return Ok(());
         }
-        log::info!(request = &*ex.id.0, program = &*program.program.0, rank = ex.route.priority, pressure = utilization; "program refused: engines are overloaded");
+        let workspace = workspace.map_or("-", |w| &*w.0);
+        let excess = shares.map_or(0.0, |(share_used, shares)| shares.excess(share_used));
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), workspace, rank, pressure = utilization, excess; "program refused: engines are overloaded");
         Err(ErrorResponse {
             reason: ErrorReason::EnginesOverloaded,
             retry_after: Some(admission::retry_after(rand::random())),
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kingcupspan_core::gateway::{crash_tracker::Fingerprint, endpoint::InstanceId};
+use kingcupspan_core::gateway::endpoint::InstanceId;
 
 use super::{Failure, Gateway};
 use crate::gateway::{
@@ -37,6 +37,7 @@
                 // The request may have run, so the error must not promise that it has not.
                 _ => ErrorReason::NoOutcome.into(),
             })?;
+            let token = self.spend_quota(ex, *possible_runs).await?;
             let request_guard = self.upstream.track_request(&endpoint.id);
             let outgoing = OutgoingRequest {
                 method: &ex.head.method,
@@ -45,7 +46,7 @@
                 id: &ex.id,
                 workspace: ex.workspace.as_ref().map(|w| &w.name),
                 has_keys: ex.configuration.workspaces.is_some(),
-                fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
+                fingerprint: ex.fingerprint(),
                 body: &body,
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
@@ -94,6 +95,7 @@
                 }
             }
             if *possible_runs == 0 {
+                ex.quota_token = token;
                 ex.progress = Progress::NotSent;
             }
             if tried.len() >= MAX_ENDPOINTS_TRIED {
