--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -3,12 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
+use futures_lite::FutureExt;
 use kingcupspan_core::{
     gateway::{
         endpoint::{Directory, Endpoint, InstanceId},
         routing::ServiceName,
     },
     id::MonoMs,
+    retry::Backoff,
 };
 use kingcupspan_platform::{
     registration,
@@ -27,9 +29,12 @@
 /// Interval between reads of the endpoint list.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Delay before a failed read is retried.
+/// Longest pause after the first failed read of several in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Longest pause after any failed read.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_200);
+
 /// The endpoints listed in the store, as last read.
 pub struct Endpoints {
     directory: Mutex<Directory>,
@@ -134,6 +139,7 @@
 pub async fn follow(store: Arc<Store>, endpoints: Arc<Endpoints>) {
     let mut follower = PartitionCursor::default();
     let mut is_unreachable = false;
+    let mut backoff = Backoff::new(RETRY_DELAY, RETRY_DELAY_MAX);
     loop {
         let mut received = Vec::new();
         let advanced = follower.advance(&store, ENDPOINTS_PARTITION, |c| received.push(c));
@@ -149,6 +155,7 @@
                     log::info!("reading the endpoint list from the store again");
                 }
                 is_unreachable = false;
+                backoff.reset();
                 task::sleep(POLL_INTERVAL).await;
             }
             Err(e) => {
@@ -156,7 +163,8 @@
                     log::warn!(error = e.to_string().as_str(); "cannot read the endpoint list; using the last known one");
                 }
                 is_unreachable = true;
-                task::sleep(RETRY_DELAY).await;
+                let pause = backoff.next_pause(rand::random());
+                task::sleep(pause).or(store.wait_for_return()).await;
             }
         }
     }
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -17,6 +17,7 @@
     sync::{Mutex as AsyncMutex, MutexGuardArc},
     task,
 };
+use futures_lite::FutureExt;
 use kingcupspan_core::{
     digest::Digest,
     gateway::{
@@ -28,6 +29,7 @@
         incarnation::Incarnation,
     },
     id::MonoMs,
+    retry::Backoff,
 };
 use kingcupspan_platform::{
     settings::StoreSettings,
@@ -53,9 +55,12 @@
 /// Index of the topic that holds allocations, after the topics that hold turns.
 const ALLOCATION_TOPIC: usize = TURN_TOPICS;
 
-/// Pause after a failed read of the allocations.
+/// Longest pause after the first failed read of the allocations of several in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Longest pause after any failed read of the allocations.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
+
 /// Identifies a partition of the gateway's own topics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PartitionId {
@@ -280,16 +285,15 @@
     /// Reads the allocations of all programs, retrying until it succeeds.
     pub async fn read_allocations(&self) {
         for number in 0..self.partitions_per_topic {
-            let topic_index = ALLOCATION_TOPIC;
-            while let Err(e) = self
-                .refresh(PartitionId {
-                    topic_index,
-                    number,
-                })
-                .await
-            {
+            let id = PartitionId {
+                topic_index: ALLOCATION_TOPIC,
+                number,
+            };
+            let mut backoff = Backoff::new(RETRY_DELAY, RETRY_DELAY_MAX);
+            while let Err(e) = self.refresh(id).await {
                 log::warn!(error = e.to_string().as_str(); "failed to read token allocations from the store; retrying");
-                task::sleep(RETRY_DELAY).await;
+                let pause = backoff.next_pause(rand::random());
+                task::sleep(pause).or(self.wait_for_store()).await;
             }
         }
     }
--- a/kingcupspan_core/src/retry.rs
+++ b/kingcupspan_core/src/retry.rs
@@ -1,7 +1,10 @@
 //! Retry budgets and backoff.
 //!
 //! A caller may retry only a percentage of its calls, so that retries do not
-//! amplify an overload.
+//! amplify an overload. A task that has to go on until it succeeds pauses longer after
+//! each failure.
+
+use std::time::Duration;
 
 /// Initial balance, which lets a new caller retry before it has made many
 /// calls.
@@ -50,3 +53,38 @@
     let ceiling = INITIAL_MS * f64::from(1_u32 << attempt.min(10));
     (ceiling.min(MAX_MS) * random) as u64
 }
+
+/// Pauses of a task that repeats a call until it succeeds.
+#[derive(Debug, Clone, Copy)]
+pub struct Backoff {
+    initial: Duration,
+    max: Duration,
+
+    /// Number of failures in a row.
+    failures: u32,
+}
+
+impl Backoff {
+    /// Creates a backoff whose pauses double from `initial` up to `max`.
+    pub fn new(initial: Duration, max: Duration) -> Self {
+        Self {
+            initial,
+            max,
+            failures: 0,
+        }
+    }
+
+    /// Records a failure and returns the pause after it, between a half and the whole of what
+    /// the failures in a row add up to; `random` ranges from 0 to 1.
+    pub fn next_pause(&mut self, random: f64) -> Duration {
+        let factor = 1_u32.checked_shl(self.failures).unwrap_or(u32::MAX);
+        let ceiling = self.initial.saturating_mul(factor).min(self.max);
+        self.failures = self.failures.saturating_add(1);
+        ceiling.mul_f64(0.5 + 0.5 * random)
+    }
+
+    /// Records a success, after which pauses begin at the shortest one again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod allocation;
+mod backoff;
 mod budget_spec;
 mod crash_tracker;
 mod directory;
