--- a/kingcupspan/tests/gateway/paged_reads.rs
+++ b/kingcupspan/tests/gateway/paged_reads.rs
@@ -249,6 +249,22 @@
     assert_eq!(total, ALLOCATION_COUNT * TOKENS + 1);
 }
 
+// Guards against allocations that count although a read ended before the own record.
+#[async_std::test]
+async fn allocation_fails_if_the_records_before_it_are_not_returned() {
+    let platform = Platform::start().await;
+    let started = platform.partitions("started");
+    allocate_one(&started).await.expect("the store responds");
+    platform.with_allocations().await;
+    platform.store.set_behavior(StoreBehavior::EmptyReads);
+    let allocated = allocate_one(&started).await;
+    allocated.expect_err("the allocations of others are not returned");
+    platform.store.set_behavior(StoreBehavior::Available);
+    allocate_one(&started).await.expect("the store responds");
+    let total = started.total_allocated(&program());
+    assert_eq!(total, ALLOCATION_COUNT * TOKENS + 1);
+}
+
 // Guards against further calls to the store for each turn: once the partition is read, an
 // allocation that follows no other is one append.
 #[async_std::test]
