--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod allocation;
 mod allocation_homes;
+mod backoff;
 mod budget_spec;
 mod crash_tracker;
 mod directory;
