--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -5,10 +5,12 @@
 //! id; allocations lie in a partition chosen by their program. A daemon reads a
 //! partition from where its last read ended, and only when it needs the records.
 
+mod accounts;
 mod turns;
 
 use std::{
     collections::{BTreeMap, HashMap},
+    ops::Range,
     sync::Arc,
     time::Duration,
 };
@@ -17,6 +19,7 @@
     sync::{Mutex as AsyncMutex, MutexGuardArc},
     task,
 };
+use futures_lite::FutureExt;
 use kingcupspan_core::{
     digest::Digest,
     gateway::{
@@ -28,6 +31,7 @@
         incarnation::Incarnation,
     },
     id::MonoMs,
+    retry::Backoff,
 };
 use kingcupspan_platform::{
     settings::StoreSettings,
@@ -53,9 +57,12 @@
 /// Index of the topic that holds allocations, after the topics that hold turns.
 const ALLOCATION_TOPIC: usize = TURN_TOPICS;
 
-/// Pause after a failed read of the allocations.
+/// Longest pause after the first failed read of the allocations of several in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Longest pause after any failed read of the allocations.
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
+
 /// Identifies a partition of the gateway's own topics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PartitionId {
@@ -176,7 +183,8 @@
     pub fn expire(&self, span: Duration) {
         self.fragments.lock().expire(self.clock.before(span));
         let before = |program: &ProgramKey| {
-            let last_read = self.last_read(program).unwrap_or_default();
+            // A partition that was not read, or is forgotten, will be read as a whole.
+            let last_read = self.last_read(program).unwrap_or(self.clock.mono());
             MonoMs(last_read.0.saturating_sub(span.as_millis() as u64))
         };
         self.allocations.lock().expire(before);
@@ -216,12 +224,13 @@
         let (record, allocation) = stored_record::allocation(program.clone(), id.clone(), tokens);
         let partition = self.partition_of_program(program);
         let started_at = self.clock.mono();
+        // It counts from now on, so that the records of a call are all known when it has ended.
+        self.apply(allocation);
         let append = self
             .group_commit
             .append(partition, vec![record], Urgency::Now);
-        let offset = append.await?;
-        self.apply(allocation);
-        self.read_up_to(partition, offset).await?;
+        let offsets = append.await?;
+        self.read_up_to(partition, offsets).await?;
         self.last_reads.lock().insert(partition, started_at);
         Ok(())
     }
@@ -260,36 +269,36 @@
         }
     }
 
-    /// Reads all records before `own_offset`, the offset of a record of this daemon.
-    async fn read_up_to(&self, id: PartitionId, own_offset: u64) -> Result<(), StoreFailure> {
+    /// Reads all records before those at `own`, the records of one call of this daemon, which are
+    /// known already.
+    async fn read_up_to(&self, id: PartitionId, own: Range<u64>) -> Result<(), StoreFailure> {
         let mut cursor = self.cursor(id).lock_arc().await;
-        if cursor.next_offset() == Some(own_offset) {
-            cursor.skip_to(own_offset + 1);
+        if cursor.next_offset().is_some_and(|next| own.contains(&next)) {
+            cursor.skip_to(own.end);
         }
-        let has_read = |next: Option<u64>| next.is_some_and(|next| next > own_offset);
+        let has_read = |next: Option<u64>| next.is_some_and(|next| next >= own.end);
         if has_read(cursor.next_offset()) {
             return Ok(());
         }
         self.read_next(id, &mut cursor).await?;
         match has_read(cursor.next_offset()) {
             true => Ok(()),
-            false => Err(StoreFailure::EndsEarly(own_offset)),
+            false => Err(StoreFailure::EndsEarly(own.end)),
         }
     }
 
     /// Reads the allocations of all programs, retrying until it succeeds.
     pub async fn read_allocations(&self) {
         for number in 0..self.partitions_per_topic {
-            let topic_index = ALLOCATION_TOPIC;
-            while let Err(e) = self
-                .refresh(PartitionId {
-                    topic_index,
-                    number,
-                })
-                .await
-            {
+            let id = PartitionId {
+                topic_index: ALLOCATION_TOPIC,
+                number,
+            };
+            let mut backoff = Backoff::new(RETRY_DELAY, RETRY_DELAY_MAX);
+            while let Err(e) = self.refresh(id).await {
                 log::warn!(error = e.to_string().as_str(); "failed to read token allocations from the store; retrying");
-                task::sleep(RETRY_DELAY).await;
+                let pause = backoff.next_pause(rand::random());
+                task::sleep(pause).or(self.wait_for_store()).await;
             }
         }
     }
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -2,6 +2,7 @@
 
 use kingcupspan_core::{
     gateway::{
+        allocation::AllocationId,
         call::{ProgramKey, RequestId},
         crash_tracker::Crash,
         endpoint::InstanceId,
@@ -15,7 +16,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::Peer;
-use crate::gateway::configuration::Update;
+use crate::gateway::{
+    allocation_homes::{AllocationOutcome, AllocationRequest, ProgramAllocations},
+    configuration::Update,
+};
 
 /// Purpose for which a daemon asks for the use of a program's tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -194,6 +198,24 @@
         position: u64,
     },
 
+    /// Asks the home of a program's allocations for one.
+    Allocate(AllocationRequest),
+
+    /// Asks the home of a program's allocations to settle one.
+    Settle {
+        /// The program.
+        program: ProgramKey,
+
+        /// The allocation.
+        id: AllocationId,
+
+        /// Tokens used.
+        used: u64,
+    },
+
+    /// Asks the home of a program's allocations for all of them.
+    ProgramAllocations(ProgramKey),
+
     /// Asks the home of a workspace for tokens of its quota.
     GrantQuota(QuotaQuestion),
 
@@ -222,6 +244,9 @@
             Self::Configuration { .. } => "configuration",
             Self::ConfigurationPosition { .. } => "configuration position",
             Self::ConfigurationChanged { .. } => "configuration changed",
+            Self::Allocate(_) => "allocate",
+            Self::Settle { .. } => "settle",
+            Self::ProgramAllocations(_) => "program allocations",
             Self::GrantQuota(_) => "grant quota",
             Self::TakeOverQuota { .. } => "take over quota",
         }
@@ -234,6 +259,9 @@
             Self::Configuration { .. }
                 | Self::ConfigurationPosition { .. }
                 | Self::ConfigurationChanged { .. }
+                | Self::Allocate(_)
+                | Self::Settle { .. }
+                | Self::ProgramAllocations(_)
                 | Self::GrantQuota(_)
                 | Self::TakeOverQuota { .. }
         )
@@ -293,6 +321,14 @@
         /// Whether the peer reaches the store.
         reaches_store: bool,
     },
+    /// Response to [`PeerRequest::Allocate`].
+    Allocated(AllocationOutcome),
+
+    /// Response to [`PeerRequest::Settle`]: whether the store has the settlement.
+    Settled(bool),
+
+    /// Response to [`PeerRequest::ProgramAllocations`]; `None` if the store cannot be read.
+    ProgramAllocations(Option<ProgramAllocations>),
 
     /// Response to [`PeerRequest::GrantQuota`]; `None` if the peer cannot tell.
     QuotaGranted(Option<QuotaAnswer>),
--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -240,6 +240,13 @@
         all
     }
 
+    /// Number of daemons, including this one.
+    pub fn member_count(&self) -> usize {
+        let members = self.members.read();
+        let is_listed = members.contains_key(&self.local.vm);
+        members.len() + usize::from(!is_listed)
+    }
+
     /// All failure domains of the member list and this daemon's own, in the order of their names.
     pub fn domains(&self) -> Vec<String> {
         let members = self.members.read();
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -17,6 +17,7 @@
     clock::Clock,
     edge::server::{self, Exchange},
     gateway::{
+        allocation_homes::AllocationHomes,
         backlog::Backlog,
         blocked_requests::BlockedRequests,
         configuration::{self, ActiveConfiguration},
@@ -100,7 +101,17 @@
     let partitions = Partitions::new(Arc::clone(&store), &settings.store, cache_bytes, clock);
     let partitions = Arc::new(partitions);
     let connectivity = Connectivity::new(Arc::clone(&store), Arc::clone(&peers));
-    let ledger = Ledger::new(Arc::clone(&partitions), Arc::clone(&peers), clock);
+    let allocation_homes = Arc::new(AllocationHomes::new(
+        Arc::clone(&partitions),
+        Arc::clone(&peers),
+        settings.store.appends_per_s,
+    ));
+    let ledger = Ledger::new(
+        Arc::clone(&partitions),
+        Arc::clone(&allocation_homes),
+        Arc::clone(&peers),
+        clock,
+    );
     let configuration_follower = Arc::new(configuration::Follower::new(
         Arc::clone(&store),
         Arc::clone(&peers),
@@ -112,8 +123,7 @@
         Arc::clone(&endpoints),
     ));
     task::spawn(Arc::clone(&peers).monitor_domains());
-    let allocation_reader = Arc::clone(&partitions);
-    task::spawn(async move { allocation_reader.read_allocations().await });
+    task::spawn(Arc::clone(&allocation_homes).follow());
     let blocked_requests = Arc::new(BlockedRequests::new(clock));
     let (crash_sender, observed_crashes) = async_channel::unbounded();
     task::spawn(Arc::clone(&blocked_requests).share_crashes(Arc::clone(&peers), observed_crashes));
@@ -123,11 +133,13 @@
     let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
     let quotas = Quotas::new(Arc::clone(&peers), clock, settings.domains.clone());
     metrics.add(&quotas.tokens);
+    metrics.add(&allocation_homes.requests);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
         endpoints,
         backlog: Arc::new(Backlog::new(Arc::clone(&partitions))),
+        allocation_homes,
         ledger: Arc::new(ledger),
         connectivity,
         peers,
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 #[path = "../common/process.rs"]
 mod process;
 
+mod allocation_homes;
 mod budgets;
 mod durable_turns;
 mod encodings;
@@ -13,8 +14,8 @@
 mod large_configurations;
 mod large_turns;
 mod outages;
-mod quotas;
 mod paged_reads;
+mod quotas;
 mod rate_limits;
 mod requests;
 mod responses_without_length;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod allocation;
+mod allocation_homes;
+mod backoff;
 mod budget_spec;
 mod crash_tracker;
 mod directory;
