--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -94,6 +94,9 @@
         let Some(utilization) = admission::utilization(&engines) else {
             return Ok(());
         };
+        if admission::has_room(utilization) {
+            return Ok(());
+        }
         let workspace = ex.workspace_name();
         let shares = workspace.map(|w| self.workspace_use.shares(w));
         let (rank, draw) = (ex.rank(), rand::random());
--- a/kingcupspan/tests/gateway/workspaces.rs
+++ b/kingcupspan/tests/gateway/workspaces.rs
@@ -297,3 +297,31 @@
     let request = with_key(Request::plain("/safe/x", "r1"), NORTH_KEY);
     assert_eq!(fleet.send(0, &request).await.status, 200);
 }
+
+// Guards against turns without a workspace that a caller with a key may continue, against ones that
+// are lost for deployments without workspaces, and against daemons that stay with the old state.
+#[async_std::test]
+async fn turns_without_a_workspace_are_read_by_callers_without_one() {
+    let fleet = Fleet::start("gateway-workspace-begin", 3, 2_000).await;
+    let first = Request::turn("p", "t1", None, 3_000);
+    assert_eq!(fleet.send(0, &first).await.status, 200);
+    publish(&fleet, 2, &[("north", NORTH_KEY)]);
+    task::sleep(APPLY_TIMEOUT).await;
+    for daemon in 0..3 {
+        let next = Request::turn("p", &format!("n{daemon}"), Some("t1"), 3_000);
+        assert_eq!(fleet.send(daemon, &next).await.status, 401);
+        let next = with_key(next, NORTH_KEY);
+        assert_eq!(fleet.send(daemon, &next).await.status, 404);
+    }
+    let without = settings::configuration(3, 2_000).to_string();
+    fleet.store.put("keyed.op", "config", Some(&without));
+    task::sleep(APPLY_TIMEOUT).await;
+    for daemon in 0..3 {
+        let next = Request::turn("p", &format!("w{daemon}"), Some("t1"), 3_000);
+        assert_eq!(
+            fleet.send(daemon, &next).await.status,
+            200,
+            "daemon {daemon}"
+        );
+    }
+}
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -44,6 +44,11 @@
     (slots > 0.0).then(|| requests / slots)
 }
 
+/// Whether programs of every rank and workspace may begin.
+pub fn has_room(utilization: f64) -> bool {
+    utilization <= OTHER_RANKS_UTILIZATION
+}
+
 /// Whether a new program of the given rank (0 is the highest) may begin.
 ///
 /// `draw` is a random number, uniformly distributed in 0..1.
--- a/kingcupspan_core/tests/gateway/shares.rs
+++ b/kingcupspan_core/tests/gateway/shares.rs
@@ -4,6 +4,7 @@
 
 use kingcupspan_core::{
     gateway::{
+        admission,
         rate_limit::RequestRate,
         shares::{Contender, RecentUse, Shares},
         workspace::{Quota, Workspace},
@@ -209,9 +210,11 @@
 
 #[test]
 fn nothing_is_refused_while_there_is_room() {
+    assert!(admission::has_room(0.7) && !admission::has_room(0.71));
     let shares = Shares::new(vec![1.0, 1.0, 50.0]);
     for (rank, share_used) in [(0, 50.0), (3, 50.0), (0, 1.0), (3, 1.0)] {
-        assert!(shares.should_admit(0.69, Contender { rank, share_used }, 0.0));
+        assert!(admission::should_admit(0.7, rank, 0.0));
+        assert!(shares.should_admit(0.7, Contender { rank, share_used }, 0.0));
     }
 }
 
