--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -64,7 +64,18 @@
     ) -> Self {
         let store = Arc::new(Store::default());
         let servers = [Arc::clone(&store)];
-        Self::start_configured(name, store, &servers, daemons, configuration).await
+        Self::start_configured(name, store, &servers, daemons, configuration, None).await
+    }
+
+    /// Starts a daemon whose VM has the given limits.
+    pub async fn start_with_limits(
+        name: &str,
+        configuration: &serde_json::Value,
+        limits: &serde_json::Value,
+    ) -> Self {
+        let store = Arc::new(Store::default());
+        let servers = [Arc::clone(&store)];
+        Self::start_configured(name, store, &servers, 1, configuration, Some(limits)).await
     }
 
     /// Starts a fleet whose daemons use the given servers of the store in rotation.
@@ -76,16 +87,17 @@
         timeout_ms: u64,
     ) -> Self {
         let configuration = settings::configuration(1, timeout_ms);
-        Self::start_configured(name, store, servers, daemons, &configuration).await
+        Self::start_configured(name, store, servers, daemons, &configuration, None).await
     }
 
-    /// Starts a fleet with a configuration.
+    /// Starts a fleet with a configuration; `limits` replaces the limits of the VMs.
     async fn start_configured(
         name: &str,
         store: Arc<Store>,
         servers: &[Arc<Store>],
         daemons: usize,
         configuration: &serde_json::Value,
+        limits: Option<&serde_json::Value>,
     ) -> Self {
         let mut store_addrs: Vec<net::SocketAddr> = Vec::new();
         for (i, server) in servers.iter().enumerate() {
@@ -109,7 +121,11 @@
         for i in 0..daemons {
             let ip = process::unique_loopback_address();
             let (vm, domain) = vm_and_domain(i);
-            let settings = settings::daemon(&vm, domain, ip, store_addrs[i % store_addrs.len()]);
+            let store_addr = store_addrs[i % store_addrs.len()];
+            let mut settings = settings::daemon(&vm, domain, ip, store_addr);
+            if let Some(limits) = limits {
+                settings["limits"] = limits.clone();
+            }
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
             fleet.daemons.push(spawn_daemon(&settings_file));
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod durable_turns;
 mod endless_responses;
 mod fleet;
+mod hostile_clients;
 mod large_configurations;
 mod large_turns;
 mod outages;
