--- a/kingcupspan/src/gateway/error_response.rs
+++ b/kingcupspan/src/gateway/error_response.rs
@@ -5,8 +5,11 @@
 use kingcupspan_core::gateway::call::RequestId;
 use kingcupspan_platform::headers;
 
+/// Retry delay sent to a caller for whose request there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Reason why the daemon answers a request with an error of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, derive_more::Display)]
 pub enum ErrorReason {
     /// The request head or body is malformed.
     #[display("malformed request")]
@@ -24,6 +27,10 @@
     #[display("slow request")]
     SlowRequest,
 
+    /// There is no memory left for the request.
+    #[display("memory short")]
+    MemoryShort,
+
     /// No route matches the request's host and path.
     #[display("no route")]
     NoRoute,
@@ -110,6 +117,7 @@
             Self::BudgetExhausted => 402,
             Self::QuotaReached => 429,
             Self::BudgetReserved
+            | Self::MemoryShort
             | Self::NoConfiguration
             | Self::ConfigurationOutdated
             | Self::TurnUnavailable
@@ -163,6 +171,15 @@
 }
 
 impl ErrorResponse {
+    /// Creates the response to a request that was not read completely.
+    pub fn unread(reason: ErrorReason) -> Self {
+        let is_temporary = reason == ErrorReason::MemoryShort;
+        Self {
+            reason,
+            retry_after: is_temporary.then_some(MEMORY_RETRY_AFTER),
+        }
+    }
+
     /// Encodes the complete response, naming request `id` and announcing whether the
     /// connection is closed.
     pub fn encode(&self, id: Option<&RequestId>, should_close: bool) -> Vec<u8> {
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -133,9 +133,24 @@
         self.route.is_idempotent() && possible_runs < self.route.max_attempts
     }
 
-    /// Builds the body sent to the endpoint: earlier turns followed by the new input.
-    pub fn prompt(&self) -> Vec<u8> {
-        history::build_prompt(&self.history, &self.body)
+    /// Builds the body sent to the endpoint: earlier turns followed by the new input; `None` if it is
+    /// the request's own.
+    pub fn prompt(&self) -> Option<Vec<u8>> {
+        (!self.history.is_empty()).then(|| history::build_prompt(&self.history, &self.body))
+    }
+
+    /// Returns the bytes that the earlier turns, and the prompt built from them, hold.
+    pub fn prompt_bytes(&self) -> usize {
+        let history: usize = self.history.iter().map(|t| t.size_bytes()).sum();
+        match self.history.is_empty() {
+            true => 0,
+            false => 2 * history + self.body.len(),
+        }
+    }
+
+    /// Whether the body is needed no more after up to `possible_runs` endpoints have run the request.
+    pub fn is_body_done(&self, possible_runs: u32) -> bool {
+        !self.can_retry(possible_runs) && !self.should_store_turn()
     }
 
     /// Returns whether the request runs on a model engine.
--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -11,12 +11,13 @@
     task,
 };
 use futures_lite::{FutureExt, StreamExt};
-use kingcupspan_core::gateway::{call::RequestId, routing::Limits};
+use kingcupspan_core::gateway::{byte_budget::Stage, call::RequestId, routing::Limits};
 use kingcupspan_platform::headers;
 
 use crate::{
     gateway::{
         error_response::{ErrorReason, ErrorResponse},
+        rejections::Rejection,
         serve::{Gateway, Outcome},
         shutdown::InFlightGuard,
     },
@@ -32,6 +33,12 @@
 /// Timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Timeout for sending an error response.
+const ERROR_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for which the rest of a refused request is discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interim response to a caller that sent `Expect: 100-continue`.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -44,9 +51,7 @@
             None
         };
         match incoming.next().or(shutting_down).await {
-            Some(Ok(stream)) => {
-                task::spawn(handle_connection(Arc::clone(&gateway), stream));
-            }
+            Some(Ok(stream)) => accept(&gateway, stream),
             Some(Err(e)) => {
                 log::warn!(error = e.to_string().as_str(); "cannot accept a connection; retrying after a delay");
                 task::sleep(ACCEPT_BACKOFF).await;
@@ -56,19 +61,47 @@
     }
 }
 
-/// Whether a connection stays open after a request.
+/// Serves a connection, unless there are too many.
+fn accept(gateway: &Arc<Gateway>, stream: TcpStream) {
+    match gateway.callers.open(&stream) {
+        Some(holder) => {
+            let conn = Conn::with_holder(stream, holder);
+            task::spawn(handle_connection(Arc::clone(gateway), conn));
+        }
+        None => gateway.rejections.note(Rejection::TooManyConnections),
+    }
+}
+
+/// What happens to a connection after a request.
 enum AfterRequest {
+    /// It waits for the next request.
     KeepOpen,
+
+    /// It is closed.
     Close,
+
+    /// It is closed after the rest of the request has been discarded.
+    Discard,
 }
 
 /// Serves requests on a connection until it is closed.
-async fn handle_connection(gateway: Arc<Gateway>, stream: TcpStream) {
-    let mut conn = Conn::new(stream);
-    while matches!(
-        handle_request(&gateway, &mut conn).await,
-        AfterRequest::KeepOpen
-    ) {}
+async fn handle_connection(gateway: Arc<Gateway>, mut conn: Conn) {
+    loop {
+        match handle_request(&gateway, &mut conn).await {
+            AfterRequest::KeepOpen => {}
+            AfterRequest::Close => return,
+            AfterRequest::Discard => {
+                // The rest does not matter.
+                let _ = future::timeout(DISCARD_TIMEOUT, conn.close_unread()).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Records what a connection does; false if it has to give way to others.
+fn set_stage(conn: &Conn, stage: Stage) -> bool {
+    conn.holder().is_none_or(|h| h.set_stage(stage))
 }
 
 /// Reads and serves one request.
@@ -78,24 +111,37 @@
     if conn.unread().is_empty() && !wait_for_request(gateway, conn, &limits).await {
         return AfterRequest::Close;
     }
+    if !set_stage(conn, Stage::Receiving) {
+        return AfterRequest::Close;
+    }
     let read = conn.request_head(limits.header_bytes);
     let head = match future::timeout(limits.header_timeout, read).await {
         Ok(Ok(head)) => head,
-        Ok(Err(e)) => return reject(conn, error_reason(&e)).await,
-        Err(_) => return reject(conn, Some(ErrorReason::SlowRequest)).await,
+        Ok(Err(e)) => return reject(gateway, conn, error_reason(&e)).await,
+        Err(_) => return reject(gateway, conn, Some(ErrorReason::SlowRequest)).await,
     };
     let received_at = Instant::now();
     let in_flight = gateway.shutdown.track_request();
     let body = match read_body(conn, &head, &limits).await {
         Ok(body) => body,
-        Err(reason) => return reject(conn, reason).await,
+        Err(reason) => return reject(gateway, conn, reason).await,
     };
-    serve_request(gateway, conn, head, body, received_at, in_flight).await
+    if !set_stage(conn, Stage::Processing) {
+        return reject(gateway, conn, Some(ErrorReason::SlowRequest)).await;
+    }
+    // Only connections with a request need the memory of this future.
+    let serving = serve_request(gateway, conn, head, body, received_at, in_flight);
+    Box::pin(serving).await
 }
 
 /// Waits for the first bytes of a request; returns false if the connection should be closed.
 async fn wait_for_request(gateway: &Gateway, conn: &mut Conn, limits: &Limits) -> bool {
+    // What the last request held is free.
+    let _ = conn.try_keep(0);
     conn.release_buffer();
+    if !set_stage(conn, Stage::Idle) {
+        return false;
+    }
     let data_received = async { matches!(conn.fill().await, Ok(n) if n > 0) };
     let shutting_down = async {
         gateway.shutdown.wait_for_idle_close().await;
@@ -128,6 +174,8 @@
 fn error_reason(e: &ReadError) -> Option<ErrorReason> {
     match e {
         ReadError::Closed | ReadError::UnexpectedEof | ReadError::Io(_) => None,
+        ReadError::Stalled => Some(ErrorReason::SlowRequest),
+        ReadError::NoRoom(_) => Some(ErrorReason::MemoryShort),
         ReadError::Head(_) | ReadError::Chunk(_) => Some(ErrorReason::MalformedRequest),
         ReadError::HeadTooLarge => Some(ErrorReason::HeadTooLarge),
         ReadError::BodyTooLarge => Some(ErrorReason::BodyTooLarge),
@@ -135,15 +183,17 @@
 }
 
 /// Answers a request that could not be read, if there is a reason to send.
-async fn reject(conn: &mut Conn, reason: Option<ErrorReason>) -> AfterRequest {
-    if let Some(reason) = reason {
-        log::info!(reason = reason.to_string().as_str(); "cannot read the request; closing the connection");
-        // The caller may have disconnected.
-        let _ = conn
-            .write(&ErrorResponse::from(reason).encode(None, true))
-            .await;
+async fn reject(gateway: &Gateway, conn: &mut Conn, reason: Option<ErrorReason>) -> AfterRequest {
+    let Some(reason) = reason else {
+        return AfterRequest::Close;
+    };
+    gateway.rejections.note(Rejection::Request(reason));
+    let bytes = ErrorResponse::unread(reason).encode(None, true);
+    match future::timeout(ERROR_TIMEOUT, conn.write(&bytes)).await {
+        Ok(Ok(())) => AfterRequest::Discard,
+        // The caller has disconnected or does not read.
+        Ok(Err(_)) | Err(_) => AfterRequest::Close,
     }
-    AfterRequest::Close
 }
 
 /// Serves a completely received request and records its outcome.
@@ -180,8 +230,8 @@
         Outcome::Answered(_) if !should_close => AfterRequest::KeepOpen,
         Outcome::Failed(response) => {
             let bytes = response.encode(id.as_ref(), should_close);
-            match conn.write(&bytes).await {
-                Ok(()) if !should_close => AfterRequest::KeepOpen,
+            match future::timeout(ERROR_TIMEOUT, conn.write(&bytes)).await {
+                Ok(Ok(())) if !should_close => AfterRequest::KeepOpen,
                 _ => AfterRequest::Close,
             }
         }
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -44,16 +44,26 @@
     /// Seconds since the store stopped answering; 0 while it is reachable.
     pub store_unreachable_s: IntGauge,
 
+    /// Connections of callers.
+    pub caller_connections: IntGauge,
+
+    /// Bytes that requests and answers of callers hold.
+    pub caller_bytes: IntGauge,
+
     /// Milliseconds since the store last told which version is the newest.
     pub configuration_age_ms: IntGauge,
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store and of the
-    /// reservations at endpoints.
-    pub fn new(traffic: &Traffic, reservations: &IntCounterVec) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store, of the
+    /// reservations at endpoints and of refusals.
+    pub fn new(
+        traffic: &Traffic,
+        reservations: &IntCounterVec,
+        rejections: &IntCounterVec,
+    ) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes, reservations] {
+        for counters in [&traffic.calls, &traffic.bytes, reservations, rejections] {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
@@ -85,6 +95,11 @@
             in_flight_requests: gauge("requests_under_way", "Requests under way"),
             configuration_version: gauge("configuration_version", "Version in force"),
             store_unreachable_s: gauge("store_away_seconds", "Time without an answer of the store"),
+            caller_connections: gauge("caller_connections", "Connections of callers"),
+            caller_bytes: gauge(
+                "caller_held_bytes",
+                "Bytes that requests and answers of callers hold",
+            ),
             configuration_age_ms: gauge(
                 "configuration_age_milliseconds",
                 "Time since the store last told the newest version",
--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod partitions;
 pub mod peer_service;
 pub mod peers;
+pub mod rejections;
 pub mod relay;
 pub mod run;
 pub mod serve;
--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -23,6 +23,12 @@
 /// Time for reading a discarded response; its request may be waiting for another endpoint.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Memory that forwarding a body in pieces takes, in bytes.
+const PIECES_BYTES: usize = 48 * 1024;
+
+/// Size of events in one write from which on they are counted as held, in bytes.
+const LARGE_EVENTS_BYTES: usize = 16 * 1024;
+
 /// Final chunk of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -81,18 +87,21 @@
     caller: &mut Conn,
     mut response: EndpointResponse,
 ) -> Result<RelayedResponse, Error> {
+    let kept = caller.kept();
     let mut body = Vec::new();
     loop {
-        match response.next_chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+        let chunk = match response.next_chunk().await {
+            Ok(Some(chunk)) => chunk,
             Ok(None) => break,
             Err(e) => {
                 log::warn!(request = &*ex.id.0, error = e.to_string().as_str(); "endpoint response ended early");
                 return Err(Error::EndpointFailed);
             }
-        }
-        if body.len() > BUFFERED_MAX_BYTES {
-            return relay_large_body(ex, caller, response, body).await;
+        };
+        let has_room = grow(caller, kept, &mut body, chunk.len());
+        body.extend_from_slice(&chunk);
+        if !has_room || body.len() > BUFFERED_MAX_BYTES {
+            return relay_large_body(ex, caller, response, body, kept).await;
         }
     }
     let length = match ex.head.method.as_str() {
@@ -100,7 +109,9 @@
         _ => Some(body.len()),
     };
     let mut bytes = encode_head(&response.head, ex, BodyFraming::Length(length));
+    bytes.reserve_exact(body.len());
     bytes.extend_from_slice(&body);
+    drop(body);
     let status = response.head.status;
     response.release_connection();
     ex.progress = Progress::Responding;
@@ -111,16 +122,45 @@
     })
 }
 
-/// Forwards a response whose body is too large to be buffered.
+/// Makes room for `added` more bytes of a body that is buffered for a caller, for whom `kept` bytes
+/// are held besides; false if there is no room.
+fn grow(caller: &mut Conn, kept: usize, body: &mut Vec<u8>, added: usize) -> bool {
+    let needed = body.len() + added;
+    if needed <= body.capacity() {
+        return true;
+    }
+    let capacity = needed.max(2 * body.capacity());
+    // The former allocation stays until its bytes have been copied.
+    if caller.try_keep(kept + body.capacity() + capacity).is_err() {
+        return false;
+    }
+    body.reserve_exact(capacity - body.len());
+    caller.try_keep(kept + body.capacity()).is_ok()
+}
+
+/// Forwards a response whose body is too large to be buffered, or for which there is no memory.
 async fn relay_large_body(
     ex: &mut Exchange,
     caller: &mut Conn,
     mut response: EndpointResponse,
     buffered: Vec<u8>,
+    kept: usize,
 ) -> Result<RelayedResponse, Error> {
     let mut bytes = encode_head(&response.head, ex, BodyFraming::Chunked);
-    begin_body(ex, caller);
     push_chunk(&mut bytes, &buffered, ex.head.is_http10);
+    drop(buffered);
+    if caller
+        .try_keep(kept + bytes.capacity().max(PIECES_BYTES))
+        .is_err()
+    {
+        log::warn!(request = &*ex.id.0; "no memory left for the response; discarding it");
+        return Err(Error::EndpointFailed);
+    }
+    begin_body(ex, caller);
+    caller.write(&bytes).await.map_err(|_| Error::Partial)?;
+    let mut bytes = Vec::new();
+    // Returning bytes always succeeds.
+    let _ = caller.try_keep(kept + PIECES_BYTES);
     loop {
         caller.write(&bytes).await.map_err(|_| Error::Partial)?;
         bytes.clear();
@@ -152,6 +192,7 @@
     let should_store = ex.should_store_turn();
     let mut scanner = Scanner::new(should_store);
     let mut head = Some(encode_head(&response.head, ex, BodyFraming::Chunked));
+    let kept = caller.kept();
     loop {
         let chunk = match response.next_chunk().await {
             Ok(Some(chunk)) => chunk,
@@ -171,6 +212,12 @@
         if let Some(reservation) = &mut ex.reservation {
             reservation.used = scanner.events() * tokens_per_event;
         }
+        let moving = Some(2 * events.len()).filter(|n| *n > LARGE_EVENTS_BYTES);
+        let held = scanner.held_bytes() + moving.unwrap_or_default();
+        if caller.try_keep(kept + held).is_err() {
+            log::warn!(request = &*ex.id.0; "no memory left for the response; breaking the event stream off");
+            return Err(broken_stream(head.is_none()));
+        }
         if events.is_empty() {
             continue;
         }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -9,6 +9,7 @@
 
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Response};
+use kingcupspan_core::gateway::byte_budget::BudgetLimits;
 use kingcupspan_platform::settings::Settings;
 use serde_json::json;
 
@@ -30,11 +31,13 @@
         partitions::Partitions,
         peer_service,
         peers::{Peer, Peers},
+        rejections::Rejections,
         serve::Gateway,
         shutdown::Shutdown,
         store::Store,
         upstream::Upstream,
     },
+    http::held_bytes::HeldBytes,
 };
 
 /// Divisor of the VM's memory that gives the size of the in-memory turn cache.
@@ -117,7 +120,13 @@
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
-    let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
+    let rejections = Rejections::default();
+    let metrics = Metrics::new(
+        store.traffic(),
+        &endpoint_limits.reservations,
+        &rejections.counts,
+    );
+    let caller_limits = BudgetLimits::for_vm(settings.memory_bytes, settings.max_fds);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -135,6 +144,8 @@
         last_engines: LastEngines::default(),
         domain: settings.domain.clone(),
         metrics,
+        callers: Arc::new(HeldBytes::new(caller_limits, clock)),
+        rejections,
         shutdown: Arc::new(Shutdown::default()),
         rotation: AtomicU64::default(),
     })
@@ -180,6 +191,7 @@
         gateway.endpoints.expire();
         gateway.endpoint_limits.expire();
         gateway.blocked_requests.expire();
+        gateway.rejections.note_stalled(&gateway.callers);
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
     }
@@ -216,6 +228,9 @@
     metrics
         .store_unreachable_s
         .set(unreachable_for.as_secs() as i64);
+    let (bytes, connections) = gateway.callers.totals();
+    metrics.caller_bytes.set(bytes as i64);
+    metrics.caller_connections.set(connections as i64);
     let age = gateway.configuration.age().unwrap_or_default();
     metrics.configuration_age_ms.set(age.as_millis() as i64);
     Response::from(metrics.text())
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -39,6 +39,7 @@
         metrics::Metrics,
         partitions::{Partitions, TurnToStore},
         peers::Peers,
+        rejections::Rejections,
         relay,
         shutdown::Shutdown,
         store::Store,
@@ -48,6 +49,7 @@
     http::{
         conn::{self, Conn},
         head::RequestHead,
+        held_bytes::HeldBytes,
     },
 };
 
@@ -110,6 +112,12 @@
     /// Metrics of this daemon.
     pub metrics: Metrics,
 
+    /// Connections of callers and the memory that they hold.
+    pub callers: Arc<HeldBytes>,
+
+    /// Requests and connections that were refused before they were read.
+    pub rejections: Rejections,
+
     /// State of a graceful shutdown.
     pub shutdown: Arc<Shutdown>,
 
@@ -231,7 +239,8 @@
             }
             None
         };
-        let work = async { Some(self.process(ex, caller).await) };
+        // Each of the futures around this one holds it as a whole.
+        let work = Box::pin(async { Some(self.process(ex, caller).await) });
         match future::timeout(remaining, work.or(disconnected)).await {
             Ok(Some(Ok(status))) => Outcome::Answered(status),
             Ok(Some(Err(Failure::Failed(response)))) => Outcome::Failed(response),
@@ -253,10 +262,19 @@
         self.refuse_in_outage(ex)?;
         self.admit_program(ex)?;
         self.load_history(ex).await?;
+        let kept = caller.kept() + ex.prompt_bytes();
+        caller
+            .try_keep(kept)
+            .map_err(|_| retry_later(ErrorReason::MemoryShort))?;
         self.reserve_tokens(ex).await?;
         let mut possible_runs = 0;
         loop {
             let (response, request_guard) = self.send(ex, &mut possible_runs).await?;
+            if ex.is_body_done(possible_runs) {
+                let body = std::mem::take(&mut ex.body);
+                // Returning bytes always succeeds.
+                let _ = caller.try_keep(caller.kept().saturating_sub(body.capacity()));
+            }
             let relayed = match ex.route.kind {
                 RouteKind::Streaming => relay::event_stream(ex, caller, response).await,
                 RouteKind::Safe | RouteKind::Unsafe => relay::buffered(ex, caller, response).await,
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -28,7 +28,7 @@
         ex: &mut Exchange,
         possible_runs: &mut u32,
     ) -> Result<(EndpointResponse, RequestGuard), Failure> {
-        let body = ex.prompt();
+        let prompt = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
         loop {
             let chosen = self.choose_endpoint(ex, &tried).await;
@@ -46,7 +46,7 @@
                 workspace: ex.workspace.as_ref().map(|w| &w.name),
                 has_keys: ex.configuration.workspaces.is_some(),
                 fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
-                body: &body,
+                body: prompt.as_deref().unwrap_or(&ex.body),
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
             };
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -54,6 +54,9 @@
 /// Assumed time that a request takes before one has ended, in seconds.
 const DEFAULT_DURATION_S: f64 = 0.2;
 
+/// Largest request body that is copied to be sent together with its head, in bytes.
+const JOINED_BODY_MAX_BYTES: usize = 16 * 1024;
+
 /// Largest body of a late response to another request that is skipped, in bytes.
 const UNRELATED_BODY_MAX_BYTES: usize = 1024 * 1024;
 
@@ -216,6 +219,9 @@
         let request = encode(endpoint, out, remaining);
         let response = async {
             conn.write(&request).await?;
+            if out.body.len() > JOINED_BODY_MAX_BYTES {
+                conn.write(out.body).await?;
+            }
             read_response_head(conn, out).await
         };
         let head = match response.await {
@@ -387,9 +393,10 @@
     fn return_connection(
         &self,
         id: &InstanceId,
-        connection: EndpointConnection,
+        mut connection: EndpointConnection,
         headers: &Headers,
     ) {
+        connection.conn.release_buffer();
         let advertised = headers.get("keep-alive").and_then(keep_alive_timeout);
         let timeout = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.saturating_sub(IDLE_MARGIN));
         if let Some(state) = self.states.lock().get_mut(id) {
@@ -442,9 +449,9 @@
     }
 }
 
-/// Encodes the request sent to an endpoint.
+/// Encodes the request sent to an endpoint, without its body if that is sent by itself.
 fn encode(endpoint: &Endpoint, out: &OutgoingRequest<'_>, remaining: Duration) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(1024 + out.body.len());
+    let mut buf = Vec::with_capacity(1024 + out.body.len().min(JOINED_BODY_MAX_BYTES));
     let mut push = |parts: [&[u8]; 4]| parts.iter().for_each(|p| buf.extend_from_slice(p));
     push([
         out.method.as_bytes(),
@@ -470,7 +477,9 @@
         push([b"Content-Length", b": ", length.as_bytes(), b"\r\n"]);
     }
     buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(out.body);
+    if out.body.len() <= JOINED_BODY_MAX_BYTES {
+        buf.extend_from_slice(out.body);
+    }
     buf
 }
 
--- a/kingcupspan/src/http/framing.rs
+++ b/kingcupspan/src/http/framing.rs
@@ -79,6 +79,14 @@
         matches!(self, Self::Length(0) | Self::Chunked(ChunkState::End))
     }
 
+    /// Returns the number of bytes that are known to follow.
+    pub fn announced(&self) -> u64 {
+        match self {
+            Self::Length(remaining) | Self::Chunked(ChunkState::Data(remaining)) => *remaining,
+            Self::Chunked(_) | Self::UntilClose => 0,
+        }
+    }
+
     /// Parses the next bytes of the body and advances past them.
     pub fn step(&mut self, buf: &[u8]) -> Result<Step, MalformedChunk> {
         match self {
--- a/kingcupspan/src/http/mod.rs
+++ b/kingcupspan/src/http/mod.rs
@@ -6,3 +6,4 @@
 pub mod conn;
 pub mod framing;
 pub mod head;
+pub mod held_bytes;
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod large_turns;
 mod outages;
 mod rate_limits;
+mod request_framing;
 mod requests;
 mod responses_without_length;
 mod shared_records;
--- a/kingcupspan_core/src/gateway/events.rs
+++ b/kingcupspan_core/src/gateway/events.rs
@@ -72,6 +72,12 @@
         self.events
     }
 
+    /// Returns the memory that the scanner holds, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let data = self.data.as_ref().map_or(0, Vec::capacity);
+        self.pending.capacity() + data + self.output.capacity()
+    }
+
     /// Whether the last byte received ends a complete event.
     pub fn is_at_boundary(&self) -> bool {
         self.pending.is_empty()
--- a/kingcupspan_core/src/gateway/history.rs
+++ b/kingcupspan_core/src/gateway/history.rs
@@ -73,7 +73,8 @@
 }
 
 impl Turn {
-    fn size_bytes(&self) -> usize {
+    /// Returns the number of bytes of the input and output.
+    pub fn size_bytes(&self) -> usize {
         self.input.len() + self.output.len()
     }
 }
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod allocation;
+pub mod byte_budget;
 pub mod call;
 pub mod crash_tracker;
 pub mod distribution;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod allocation;
 mod budget_spec;
+mod byte_budget;
 mod crash_tracker;
 mod directory;
 mod distribution;
