--- a/kingcupspan/src/http/head.rs
+++ b/kingcupspan/src/http/head.rs
@@ -33,6 +33,10 @@
     #[error("ambiguous body length")]
     AmbiguousLength,
 
+    /// The status code is none that a response can have.
+    #[error("no response has status {0:03}")]
+    InvalidStatus(u16),
+
     /// The transfer coding is not `chunked`.
     #[error("unsupported transfer coding")]
     UnsupportedCoding,
@@ -204,6 +208,9 @@
 
 /// Parses the head of a response to a request with `method` and returns it with its length, or
 /// `None` if it is incomplete.
+///
+/// This alone decides what is a response that may reach a caller. `httparse` fails on a second
+/// status line, on headers that continue on the next line and on control characters.
 pub fn parse_response(
     buf: &[u8],
     method: &str,
@@ -216,9 +223,9 @@
         Err(e) => return Err(HeadError::Malformed(e.to_string())),
     };
     let headers = owned_headers(parsed.headers);
-    let status = parsed.code.unwrap_or(0);
-    let framing = response_framing(&headers, status, method)?;
+    let status = response_status(parsed.code.unwrap_or(0))?;
     let is_http10 = parsed.version == Some(0);
+    let framing = response_framing(&headers, status, method, is_http10)?;
     let closes_connection = headers.has_token("connection", "close") || is_http10;
     let head = ResponseHead {
         status,
@@ -230,16 +237,31 @@
     Ok(Some((head, len)))
 }
 
+/// Checks the status code of a response; 101 would answer an upgrade, which is never requested.
+fn response_status(code: u16) -> Result<u16, HeadError> {
+    match code {
+        100 | 102..=599 => Ok(code),
+        _ => Err(HeadError::InvalidStatus(code)),
+    }
+}
+
 /// Determines the framing of the body of a response to a request with `method`.
-fn response_framing(headers: &Headers, status: u16, method: &str) -> Result<Framing, HeadError> {
+fn response_framing(
+    headers: &Headers,
+    status: u16,
+    method: &str,
+    is_http10: bool,
+) -> Result<Framing, HeadError> {
+    let length = headers.content_length()?;
     if method == "HEAD" || matches!(status, 100..=199 | 204 | 304) {
         return Ok(Framing::Length(0));
     }
-    if headers.is_chunked()? {
-        return Ok(Framing::chunked());
+    match (headers.is_chunked()?, length) {
+        (true, Some(_)) => Err(HeadError::AmbiguousLength),
+        (true, None) if is_http10 => Err(HeadError::UnsupportedCoding),
+        (true, None) => Ok(Framing::chunked()),
+        (false, length) => Ok(length.map_or(Framing::UntilClose, Framing::Length)),
     }
-    let length = headers.content_length()?;
-    Ok(length.map_or(Framing::UntilClose, Framing::Length))
 }
 
 /// Copies parsed headers out of the receive buffer.
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod hostile_clients;
 mod large_configurations;
 mod large_turns;
+mod malformed_responses;
 mod outages;
 mod rate_limits;
 mod request_framing;
