--- a/kingcupspan/src/cli.rs
+++ b/kingcupspan/src/cli.rs
@@ -61,6 +61,29 @@
         section: Option<String>,
     },
 
+    /// Shows where a gateway would send a request now, and why, without sending it.
+    #[bpaf(command)]
+    Explain {
+        /// The operator address of the gateway.
+        #[bpaf(argument("ADDR"))]
+        daemon: net::SocketAddr,
+
+        /// Method of the request, POST by default.
+        #[bpaf(argument("METHOD"), fallback("POST".to_owned()))]
+        method: String,
+
+        /// A header of the request; may be repeated.
+        #[bpaf(argument("NAME: VALUE"), many)]
+        header: Vec<String>,
+
+        /// Print JSON instead of lines.
+        json: bool,
+
+        /// Host and path of the request, for example shop.example/pay/1.
+        #[bpaf(positional("HOST/PATH"))]
+        target: String,
+    },
+
     /// Shows the usage of each caller and workspace.
     #[bpaf(command)]
     Usage {
--- a/kingcupspan/src/command/mod.rs
+++ b/kingcupspan/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod daemon;
+pub mod explain;
 pub mod gateway;
 pub mod operator;
 pub mod publish;
@@ -28,6 +29,13 @@
             config,
         } => publish::run(&settings, base, &config),
         Options::Dump { daemon, section } => operator::dump(daemon, section.as_deref()),
+        Options::Explain {
+            daemon,
+            method,
+            header,
+            json,
+            target,
+        } => explain::run(daemon, &method, &header, json, &target),
         Options::Usage {
             daemon,
             caller,
--- a/kingcupspan/src/command/operator.rs
+++ b/kingcupspan/src/command/operator.rs
@@ -20,13 +20,13 @@
 const MAX_RESPONSE_BYTES: usize = 1 << 30;
 
 /// Response of a daemon.
-struct DaemonResponse {
+pub(super) struct DaemonResponse {
     status: u16,
     body: Vec<u8>,
 }
 
 /// Sends a request to the daemon's operator address.
-fn send_request(
+pub(super) fn send_request(
     method: Method,
     daemon: net::SocketAddr,
     path: &str,
@@ -43,7 +43,7 @@
 }
 
 /// Prints a successful response with `print` or reports the error; returns the exit code.
-fn print_or_fail(
+pub(super) fn print_or_fail(
     response: Result<DaemonResponse, SendError>,
     print: impl FnOnce(&[u8]) -> u8,
 ) -> u8 {
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -37,7 +37,7 @@
         store::Store,
         upstream::Upstream,
     },
-    http::held_bytes::HeldBytes,
+    http::{head, held_bytes::HeldBytes},
 };
 
 /// Divisor of the VM's memory that gives the size of the in-memory turn cache.
@@ -211,11 +211,26 @@
     match (ex.req.method(), ex.req.url().path()) {
         (Method::Get, "/dump") => dump(gateway),
         (Method::Get, "/metrics") => metrics(gateway),
+        (Method::Get, "/explain") => explain(gateway, ex),
         (Method::Get, _) if is_ready(gateway) => Response::new(200),
         _ => Response::new(503),
     }
 }
 
+/// Explains where the request goes whose head is the parameter `head`.
+fn explain(gateway: &Gateway, ex: &Exchange) -> Response {
+    let mut parameters = ex.req.url().query_pairs();
+    let head = parameters.find(|(name, _)| name == "head");
+    let text = head.map(|(_, text)| text).unwrap_or_default();
+    let Ok(Some((head, _))) = head::parse_request(text.as_bytes()) else {
+        return Response::new(400);
+    };
+    let mut res = Response::new(200);
+    res.set_content_type(http_types::mime::JSON);
+    res.set_body(json!(gateway.explain(head)).to_string());
+    res
+}
+
 /// Updates the gauges and returns all metrics.
 fn metrics(gateway: &Gateway) -> Response {
     let metrics = &gateway.metrics;
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -175,6 +175,19 @@
         residence: &Residence,
         tried: &[InstanceId],
         denied: &[InstanceId],
+    ) -> Option<Arc<Endpoint>> {
+        let rotate = || self.rotation.fetch_add(1, Ordering::Relaxed);
+        self.place_rotated(ex, residence, tried, denied, rotate)
+    }
+
+    /// Places a request like [`Self::place`], with another rotation among equally good endpoints.
+    fn place_rotated(
+        &self,
+        ex: &Exchange,
+        residence: &Residence,
+        tried: &[InstanceId],
+        denied: &[InstanceId],
+        rotate: impl FnOnce() -> u64,
     ) -> Option<Arc<Endpoint>> {
         let mut candidates = self.candidates(ex);
         candidates.retain(|c| {
@@ -186,14 +199,32 @@
                 let last = self.last_engines.get(key);
                 placement::choose_engine(&candidates, key, last.as_ref(), tried)
             }
-            _ => {
-                let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
-                placement::choose_service_endpoint(&candidates, &self.domain, rotation, tried)
-            }
+            _ => placement::choose_service_endpoint(&candidates, &self.domain, rotate(), tried),
         };
         chosen.map(|i| Arc::clone(&candidates[i].endpoint))
     }
 
+    /// Returns all endpoints that accept new requests of the service in the order in which a request
+    /// would be placed at them now if those before did not take it, and whether each takes it as
+    /// soon as the request needs. Nothing is reserved or counted.
+    pub(super) fn placements(&self, ex: &Exchange) -> Vec<(Candidate, bool)> {
+        let residence = self.residence(ex);
+        let rotate = || self.rotation.load(Ordering::Relaxed);
+        let mut order = Vec::new();
+        while let Some(e) = self.place_rotated(ex, &residence, &[], &order, rotate) {
+            order.push(e.id.clone());
+        }
+        let mut candidates = self.candidates(ex);
+        let position = |c: &Candidate| order.iter().position(|id| *id == c.endpoint.id);
+        candidates.sort_by_key(|c| position(c).unwrap_or(usize::MAX));
+        let takes = |c: &Candidate| position(c).is_some();
+        let placements = candidates.into_iter().map(|c| {
+            let takes = takes(&c);
+            (c, takes)
+        });
+        placements.collect()
+    }
+
     /// Endpoints that accept new requests of the service, with their load.
     fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
         self.upstream.candidates(self.endpoints.ready(&ex.service))
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod authenticate;
 mod choose;
+pub mod explain;
 mod refuse;
 mod send;
 
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -70,17 +70,22 @@
         })
     }
 
-    /// Refuses a program that starts while the engines are overloaded.
-    pub(super) fn admit_program(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
-        let Some(program) = ex.info.program.as_ref().filter(|_| ex.route.has_turns()) else {
-            return Ok(());
-        };
+    /// Returns the utilization of the engines if the request starts a program that may be refused
+    /// for it.
+    pub(super) fn utilization_at_start(&self, ex: &Exchange) -> Option<f64> {
+        let program = ex.info.program.as_ref().filter(|_| ex.route.has_turns())?;
         let has_last_engine = |key| self.last_engines.get(key).is_some();
         if program.previous.is_some() || ex.info.placement_key().is_some_and(has_last_engine) {
-            return Ok(());
+            return None;
         }
         let engines = self.upstream.candidates(self.endpoints.ready(&ex.service));
-        let Some(utilization) = admission::utilization(&engines) else {
+        admission::utilization(&engines)
+    }
+
+    /// Refuses a program that starts while the engines are overloaded.
+    pub(super) fn admit_program(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
+        let (Some(program), Some(utilization)) = (&ex.info.program, self.utilization_at_start(ex))
+        else {
             return Ok(());
         };
         if admission::should_admit(utilization, ex.route.priority, rand::random()) {
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod budgets;
 mod durable_turns;
 mod endless_responses;
+mod explain;
 mod fleet;
 mod hostile_clients;
 mod large_configurations;
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -44,16 +44,21 @@
     (slots > 0.0).then(|| requests / slots)
 }
 
-/// Whether a new program of the given rank (0 is the highest) may begin.
-///
-/// `draw` is a random number, uniformly distributed in 0..1.
-pub fn should_admit(utilization: f64, rank: u32, draw: f64) -> bool {
+/// Returns the share of new programs of the given rank (0 is the highest) that is refused; below 0
+/// or above 1 if it is none or all.
+pub fn refused_share(utilization: f64, rank: u32) -> f64 {
     let threshold = match rank {
         0 => HIGHEST_RANK_UTILIZATION,
         _ => OTHER_RANKS_UTILIZATION,
     };
-    let refused_share = (utilization - threshold) / REFUSAL_RANGE_UTILIZATION;
-    draw >= refused_share
+    (utilization - threshold) / REFUSAL_RANGE_UTILIZATION
+}
+
+/// Whether a new program of the given rank (0 is the highest) may begin.
+///
+/// `draw` is a random number, uniformly distributed in 0..1.
+pub fn should_admit(utilization: f64, rank: u32, draw: f64) -> bool {
+    draw >= refused_share(utilization, rank)
 }
 
 /// Returns the time after which a refused program should retry.
