--- a/kingcupspan/src/gateway/mod.rs
+++ b/kingcupspan/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod peer_service;
 pub mod peers;
 pub mod quotas;
+pub mod rejections;
 pub mod relay;
 pub mod run;
 pub mod serve;
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -9,6 +9,7 @@
 
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Response};
+use kingcupspan_core::gateway::byte_budget::BudgetLimits;
 use kingcupspan_core::gateway::routing::Configuration;
 use kingcupspan_platform::settings::Settings;
 use serde_json::json;
@@ -33,12 +34,14 @@
         peer_service,
         peers::{Peer, Peers},
         quotas::Quotas,
+        rejections::Rejections,
         serve::Gateway,
         shutdown::Shutdown,
         store::Store,
         upstream::Upstream,
         workspace_use::WorkspaceUse,
     },
+    http::{head, held_bytes::HeldBytes},
 };
 
 /// Divisor of the VM's memory that gives the size of the in-memory turn cache.
@@ -130,10 +133,16 @@
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
-    let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
+    let rejections = Rejections::default();
+    let metrics = Metrics::new(
+        store.traffic(),
+        &endpoint_limits.reservations,
+        &rejections.counts,
+    );
     let quotas = Quotas::new(Arc::clone(&peers), clock, settings.domains.clone());
     metrics.add(&quotas.tokens);
     metrics.add(&allocation_homes.requests);
+    let caller_limits = BudgetLimits::for_vm(settings.memory_bytes, settings.max_fds);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -154,6 +163,8 @@
         workspace_use: WorkspaceUse::new(clock),
         domain: settings.domain.clone(),
         metrics,
+        callers: Arc::new(HeldBytes::new(caller_limits, clock)),
+        rejections,
         shutdown: Arc::new(Shutdown::default()),
         rotation: AtomicU64::default(),
     })
@@ -203,6 +214,7 @@
         gateway.endpoint_limits.expire();
         gateway.quotas.expire();
         gateway.blocked_requests.expire();
+        gateway.rejections.note_stalled(&gateway.callers);
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
     }
@@ -222,11 +234,26 @@
     match (ex.req.method(), ex.req.url().path()) {
         (Method::Get, "/dump") => dump(gateway),
         (Method::Get, "/metrics") => metrics(gateway),
+        (Method::Get, "/explain") => explain(gateway, ex),
         (Method::Get, _) if is_ready(gateway) => Response::new(200),
         _ => Response::new(503),
     }
 }
 
+/// Explains where the request goes whose head is the parameter `head`.
+fn explain(gateway: &Gateway, ex: &Exchange) -> Response {
+    let mut parameters = ex.req.url().query_pairs();
+    let head = parameters.find(|(name, _)| name == "head");
+    let text = head.map(|(_, text)| text).unwrap_or_default();
+    let Ok(Some((head, _))) = head::parse_request(text.as_bytes()) else {
+        return Response::new(400);
+    };
+    let mut res = Response::new(200);
+    res.set_content_type(http_types::mime::JSON);
+    res.set_body(json!(gateway.explain(head)).to_string());
+    res
+}
+
 /// Updates the gauges and returns all metrics.
 fn metrics(gateway: &Gateway) -> Response {
     let metrics = &gateway.metrics;
@@ -239,6 +266,9 @@
     metrics
         .store_unreachable_s
         .set(unreachable_for.as_secs() as i64);
+    let (bytes, connections) = gateway.callers.totals();
+    metrics.caller_bytes.set(bytes as i64);
+    metrics.caller_connections.set(connections as i64);
     let age = gateway.configuration.age().unwrap_or_default();
     metrics.configuration_age_ms.set(age.as_millis() as i64);
     Response::from(metrics.text())
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -67,7 +67,7 @@
     ) -> Self {
         let store = Arc::new(Store::default());
         let servers = [Arc::clone(&store)];
-        Self::start_configured(name, store, &servers, daemons, configuration, None).await
+        Self::start_configured(name, store, &servers, daemons, configuration, &|_| {}).await
     }
 
     /// Starts a fleet whose store takes so few appends that the daemons share them.
@@ -75,9 +75,23 @@
         let store = Arc::new(Store::default());
         let servers = [Arc::clone(&store)];
         let configuration = settings::configuration(1, timeout_ms);
-        let appends_per_s = Some(FEW_APPENDS_PER_S * daemons as u32);
-        let (name, servers) = (name, &servers);
-        Self::start_configured(name, store, servers, daemons, &configuration, appends_per_s).await
+        let appends_per_s = FEW_APPENDS_PER_S * daemons as u32;
+        let edit = |settings: &mut serde_json::Value| {
+            settings["platform"]["writes_per_s"] = appends_per_s.into();
+        };
+        Self::start_configured(name, store, &servers, daemons, &configuration, &edit).await
+    }
+
+    /// Starts a daemon whose VM has the given limits.
+    pub async fn start_with_limits(
+        name: &str,
+        configuration: &serde_json::Value,
+        limits: &serde_json::Value,
+    ) -> Self {
+        let store = Arc::new(Store::default());
+        let servers = [Arc::clone(&store)];
+        let edit = |settings: &mut serde_json::Value| settings["limits"] = limits.clone();
+        Self::start_configured(name, store, &servers, 1, configuration, &edit).await
     }
 
     /// Starts a fleet whose daemons use the given servers of the store in rotation.
@@ -89,18 +103,17 @@
         timeout_ms: u64,
     ) -> Self {
         let configuration = settings::configuration(1, timeout_ms);
-        Self::start_configured(name, store, servers, daemons, &configuration, None).await
+        Self::start_configured(name, store, servers, daemons, &configuration, &|_| {}).await
     }
 
-    /// Starts a fleet with a configuration; `appends_per_s` is what its store takes, if it names a
-    /// limit.
+    /// Starts a fleet with a configuration; `edit` changes the settings of each daemon.
     async fn start_configured(
         name: &str,
         store: Arc<Store>,
         servers: &[Arc<Store>],
         daemons: usize,
         configuration: &serde_json::Value,
-        appends_per_s: Option<u32>,
+        edit: &dyn Fn(&mut serde_json::Value),
     ) -> Self {
         let mut store_addrs: Vec<net::SocketAddr> = Vec::new();
         for (i, server) in servers.iter().enumerate() {
@@ -124,11 +137,9 @@
         for i in 0..daemons {
             let ip = process::unique_loopback_address();
             let (vm, domain) = vm_and_domain(i);
-            let mut settings =
-                settings::daemon(&vm, domain, ip, store_addrs[i % store_addrs.len()]);
-            if let Some(rate) = appends_per_s {
-                settings["platform"]["writes_per_s"] = rate.into();
-            }
+            let store_addr = store_addrs[i % store_addrs.len()];
+            let mut settings = settings::daemon(&vm, domain, ip, store_addr);
+            edit(&mut settings);
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
             fleet.daemons.push(spawn_daemon(&settings_file));
--- a/kingcupspan_core/src/gateway/admission.rs
+++ b/kingcupspan_core/src/gateway/admission.rs
@@ -57,7 +57,7 @@
 }
 
 /// Part of the programs of a rank that is refused; below 0 or above 1 if all begin or none does.
-pub(super) fn refused_share(utilization: f64, rank: u32) -> f64 {
+pub fn refused_share(utilization: f64, rank: u32) -> f64 {
     let threshold = match rank {
         0 => HIGHEST_RANK_UTILIZATION,
         _ => OTHER_RANKS_UTILIZATION,
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod allocation;
 pub mod allocation_homes;
+pub mod byte_budget;
 pub mod call;
 pub mod crash_tracker;
 pub mod distribution;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod allocation_homes;
 mod backoff;
 mod budget_spec;
+mod byte_budget;
 mod crash_tracker;
 mod directory;
 mod distribution;
