--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -49,11 +49,11 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store and of the
-    /// reservations at endpoints.
-    pub fn new(traffic: &Traffic, reservations: &IntCounterVec) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store, of the
+    /// reservations at endpoints and of the endpoints that are avoided.
+    pub fn new(traffic: &Traffic, reservations: &IntCounterVec, avoidance: &IntCounterVec) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes, reservations] {
+        for counters in [&traffic.calls, &traffic.bytes, reservations, avoidance] {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -156,7 +156,10 @@
         let chunk = match response.next_chunk().await {
             Ok(Some(chunk)) => chunk,
             Ok(None) if scanner.is_at_boundary() => break,
-            Ok(None) | Err(_) => {
+            ended => {
+                if ended.is_ok() {
+                    response.note_failure();
+                }
                 log::warn!(request = &*ex.id.0, events = scanner.events(); "event stream ended early");
                 return Err(broken_stream(head.is_none()));
             }
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -117,7 +117,12 @@
     let membership_follower = Arc::clone(&membership);
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
-    let metrics = Metrics::new(store.traffic(), &endpoint_limits.reservations);
+    let upstream = Arc::new(Upstream::new(crash_sender));
+    let metrics = Metrics::new(
+        store.traffic(),
+        &endpoint_limits.reservations,
+        &upstream.health.changes,
+    );
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -129,7 +134,7 @@
         store,
         membership,
         partitions,
-        upstream: Arc::new(Upstream::new(crash_sender)),
+        upstream,
         endpoint_limits,
         blocked_requests,
         last_engines: LastEngines::default(),
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use kingcupspan_core::gateway::{
     endpoint::{Endpoint, InstanceId},
+    expected_finish::{self, Prospect},
     placement::{self, Candidate},
     rate_limit::{Claim, Reservation},
 };
@@ -176,27 +177,53 @@
         tried: &[InstanceId],
         denied: &[InstanceId],
     ) -> Option<Arc<Endpoint>> {
-        let mut candidates = self.candidates(ex);
-        candidates.retain(|c| {
-            let endpoint = &c.endpoint;
+        let ready = self.endpoints.ready(&ex.service);
+        let mut prospects = self.upstream.prospects(&ex.service, ready);
+        prospects.retain(|p| {
+            let endpoint = &p.candidate.endpoint;
             !denied.contains(&endpoint.id) && !self.is_full(ex, residence, endpoint)
         });
+        if let Some(endpoint) = self.trial(ex, &prospects, tried) {
+            return Some(endpoint);
+        }
         let chosen = match (ex.runs_on_engine(), ex.info.placement_key()) {
             (true, Some(key)) => {
                 let last = self.last_engines.get(key);
-                placement::choose_engine(&candidates, key, last.as_ref(), tried)
+                expected_finish::choose_engine(&prospects, key, last.as_ref(), tried)
             }
             _ => {
                 let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
-                placement::choose_service_endpoint(&candidates, &self.domain, rotation, tried)
+                expected_finish::choose_service_endpoint(&prospects, &self.domain, rotation, tried)
             }
         };
-        chosen.map(|i| Arc::clone(&candidates[i].endpoint))
+        chosen.map(|i| Arc::clone(&prospects[i].candidate.endpoint))
+    }
+
+    /// Takes an avoided endpoint that should get a single request, if this is a first attempt of a
+    /// request that has no prompt in an engine's cache.
+    fn trial(
+        &self,
+        ex: &Exchange,
+        prospects: &[Prospect],
+        tried: &[InstanceId],
+    ) -> Option<Arc<Endpoint>> {
+        let key = ex.info.placement_key().filter(|_| ex.runs_on_engine());
+        let has_prompt_elsewhere = key.is_some_and(|key| self.last_engines.get(key).is_some());
+        if !tried.is_empty() || has_prompt_elsewhere {
+            return None;
+        }
+        let is_repeatable = ex.can_retry(1);
+        let id = self
+            .upstream
+            .take_trial(&ex.service, prospects, is_repeatable)?;
+        let mut endpoints = prospects.iter().map(|p| &p.candidate.endpoint);
+        endpoints.find(|e| e.id == id).map(Arc::clone)
     }
 
     /// Endpoints that accept new requests of the service, with their load.
     fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
-        self.upstream.candidates(self.endpoints.ready(&ex.service))
+        let ready = self.endpoints.ready(&ex.service);
+        self.upstream.candidates(&ex.service, ready)
     }
 
     /// Whether an endpoint limits the rate of requests and takes none as soon as a request needs.
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -79,7 +79,8 @@
         if program.previous.is_some() || ex.info.placement_key().is_some_and(has_last_engine) {
             return Ok(());
         }
-        let engines = self.upstream.candidates(self.endpoints.ready(&ex.service));
+        let ready = self.endpoints.ready(&ex.service);
+        let engines = self.upstream.candidates(&ex.service, ready);
         let Some(utilization) = admission::utilization(&engines) else {
             return Ok(());
         };
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -46,6 +46,7 @@
                 workspace: ex.workspace.as_ref().map(|w| &w.name),
                 has_keys: ex.configuration.workspaces.is_some(),
                 fingerprint: Fingerprint::of(&ex.head.method, &ex.head.target, &ex.body),
+                timed_as: (!ex.runs_on_engine()).then_some(&*ex.route.name),
                 body: &body,
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use kingcupspan_core::gateway::{
-    call::RequestId, crash_tracker::Fingerprint, placement::Load, rate_limit::RequestRate,
+    call::RequestId, crash_tracker::Fingerprint, expected_finish::Observation,
+    load_report::LoadReport, placement::Load, rate_limit::RequestRate,
 };
 
 use crate::http::conn::Conn;
 
-/// How long the load reported by an endpoint is used.
+/// How long the load reported by an endpoint is used where it does not tell how long work takes.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
 
 /// Weight of the last request in the mean time that requests take.
@@ -46,7 +47,7 @@
     pub(super) in_flight: u32,
 
     /// Load that the endpoint last reported.
-    pub(super) reported: Option<LoadReport>,
+    pub(super) reported: Option<ReceivedReport>,
 
     /// Whether the endpoint failed and has not accepted a connection since.
     pub(super) is_suspect: bool,
@@ -63,9 +64,9 @@
 
 /// Load reported by an endpoint.
 #[derive(Clone, Copy)]
-pub(super) struct LoadReport {
-    /// Requests running and waiting at the endpoint.
-    pub(super) load: u32,
+pub(super) struct ReceivedReport {
+    /// What the endpoint has reported.
+    pub(super) report: LoadReport,
 
     /// Time when the report was received.
     pub(super) received_at: Instant,
@@ -74,7 +75,36 @@
     pub(super) in_flight: u32,
 }
 
+impl ReceivedReport {
+    /// Returns the requests running and waiting, adjusted for those that this daemon has sent
+    /// since; it has `in_flight` now.
+    fn requests(&self, in_flight: u32) -> u32 {
+        let requests = self.report.requests().saturating_add(in_flight);
+        requests.saturating_sub(self.in_flight)
+    }
+}
+
 impl EndpointState {
+    /// Records a report.
+    pub(super) fn record_report(&mut self, report: LoadReport) {
+        self.reported = Some(ReceivedReport {
+            report,
+            received_at: Instant::now(),
+            in_flight: self.in_flight,
+        });
+    }
+
+    /// Returns the last report with its age.
+    pub(super) fn observation(&self, now: Instant) -> Option<Observation> {
+        let received = self.reported?;
+        Some(Observation {
+            requests: received.requests(self.in_flight),
+            slots: received.report.slots,
+            pace: received.report.pace,
+            age: now.saturating_duration_since(received.received_at),
+        })
+    }
+
     /// Keeps a connection for reuse within `timeout`.
     pub(super) fn add_idle(&mut self, connection: EndpointConnection, timeout: Duration) {
         self.idle.push(IdleConnection {
@@ -93,14 +123,11 @@
     /// Returns the load, adding requests sent since the last report; a request of the service
     /// takes `duration_s` seconds in the mean.
     pub(super) fn load(&self, now: Instant, duration_s: f64) -> Load {
-        let is_fresh = |r: &LoadReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
+        let is_fresh = |r: &ReceivedReport| now.duration_since(r.received_at) < LOAD_REPORT_TTL;
         let reported = self.reported.filter(is_fresh);
         Load {
             in_flight: self.in_flight,
-            reported: reported.map(|r| {
-                let load = r.load.saturating_add(self.in_flight);
-                load.saturating_sub(r.in_flight)
-            }),
+            reported: reported.map(|r| r.requests(self.in_flight)),
             is_failing: self.is_suspect,
             limited_concurrency: self.limit.map(|l| l.concurrency(duration_s)),
         }
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -1,6 +1,8 @@
 //! Sends requests to endpoints and manages the connections to them.
 
 mod endpoint_state;
+mod health;
+mod request;
 mod response;
 
 use std::{
@@ -15,18 +17,23 @@
 
 use async_std::{future, net::TcpStream, task};
 use kingcupspan_core::gateway::{
-    call::RequestId,
-    crash_tracker::{Crash, Fingerprint},
+    crash_tracker::Crash,
     endpoint::{Endpoint, InstanceId},
+    expected_finish::Prospect,
     placement::{Candidate, Load},
     rate_limit::RequestRate,
-    workspace::WorkspaceName,
+    routing::ServiceName,
 };
 use kingcupspan_platform::headers::{self, HeaderLookup, ResponseInfo};
 use parking_lot::Mutex;
 
-use self::endpoint_state::{EndpointConnection, EndpointState, LoadReport, SentRequest};
-pub use self::{endpoint_state::ConnectionId, response::EndpointResponse};
+pub use self::{
+    endpoint_state::ConnectionId, request::OutgoingRequest, response::EndpointResponse,
+};
+use self::{
+    endpoint_state::{EndpointConnection, EndpointState, SentRequest},
+    health::{Attempt, Health},
+};
 use crate::{
     edge::tcp,
     http::{
@@ -69,54 +76,13 @@
     Lost(String),
 }
 
-/// A request to be sent to an endpoint.
-pub struct OutgoingRequest<'a> {
-    /// The HTTP method.
-    pub method: &'a str,
-
-    /// The request target as sent by the caller.
-    pub target: &'a str,
-
-    /// The caller's headers.
-    pub headers: &'a Headers,
-
-    /// Identifier of the attempt, chosen by the caller.
-    pub id: &'a RequestId,
-
-    /// Workspace of the caller, if it has one.
-    pub workspace: Option<&'a WorkspaceName>,
-
-    /// Whether callers send keys, which must not reach the endpoint.
-    pub has_keys: bool,
-
-    /// Fingerprint shared by all attempts of the request, used to attribute crashes.
-    pub fingerprint: Fingerprint,
-
-    /// The request body.
-    pub body: &'a [u8],
-
-    /// Time until which the caller waits for the response.
-    pub deadline: Instant,
-
-    /// Connections on which the endpoint has refused this attempt. It is not sent on them
-    /// again: a second copy of a refusal could not be told from a response.
-    pub refused_on: &'a [ConnectionId],
-}
-
-impl OutgoingRequest<'_> {
-    /// Returns what is remembered of the request after it has been sent.
-    fn sent_request(&self) -> SentRequest {
-        SentRequest {
-            attempt: self.id.clone(),
-            fingerprint: self.fingerprint,
-        }
-    }
-}
-
 /// Connections to all endpoints and their load.
 pub struct Upstream {
     states: Mutex<HashMap<InstanceId, EndpointState>>,
 
+    /// How requests end at the endpoints.
+    pub health: Arc<Health>,
+
     /// Number of connections opened so far.
     opened_connections: AtomicU64,
 
@@ -145,27 +111,51 @@
     pub fn new(crashes: async_channel::Sender<Vec<Crash>>) -> Self {
         Self {
             states: Mutex::default(),
+            health: Arc::new(Health::new()),
             opened_connections: AtomicU64::default(),
             crashes,
         }
     }
 
-    /// Combines endpoints with what is known of their load.
-    pub fn candidates(&self, endpoints: Vec<Arc<Endpoint>>) -> Vec<Candidate> {
+    /// Combines the endpoints of a service with what is known of their load.
+    pub fn candidates(&self, service: &ServiceName, listed: Vec<Arc<Endpoint>>) -> Vec<Candidate> {
+        let prospects = self.prospects(service, listed).into_iter();
+        prospects.map(|p| p.candidate).collect()
+    }
+
+    /// Combines the endpoints of a service with what is known of their load, and with what they
+    /// have reported.
+    pub fn prospects(&self, service: &ServiceName, listed: Vec<Arc<Endpoint>>) -> Vec<Prospect> {
         let now = Instant::now();
+        let avoided = self.health.avoided(service, &listed);
         let states = self.states.lock();
-        let duration_s = mean_duration_s(&states, &endpoints);
-        let load = |id: &InstanceId| {
-            let state = states.get(id);
-            state.map_or_else(Load::default, |s| s.load(now, duration_s))
+        let duration_s = mean_duration_s(&states, &listed);
+        let prospect = |endpoint: Arc<Endpoint>| {
+            let state = states.get(&endpoint.id);
+            let mut load = state.map_or_else(Load::default, |s| s.load(now, duration_s));
+            load.is_failing |= avoided.contains(&endpoint.id);
+            Prospect {
+                observed: state.and_then(|s| s.observation(now)),
+                candidate: Candidate { endpoint, load },
+            }
         };
-        endpoints
-            .into_iter()
-            .map(|endpoint| Candidate {
-                load: load(&endpoint.id),
-                endpoint,
-            })
-            .collect()
+        listed.into_iter().map(prospect).collect()
+    }
+
+    /// Takes an avoided endpoint of a service that should get a single request now.
+    pub fn take_trial(
+        &self,
+        service: &ServiceName,
+        prospects: &[Prospect],
+        is_repeatable: bool,
+    ) -> Option<InstanceId> {
+        let ids = prospects.iter().map(|p| &p.candidate.endpoint.id);
+        let accepts_connections = |id: &&InstanceId| {
+            let states = self.states.lock();
+            !states.get(id).is_some_and(|s| s.is_suspect)
+        };
+        let ids = ids.filter(accepts_connections);
+        self.health.take_trial(service, ids, is_repeatable)
     }
 
     /// Counts a request as in flight at an endpoint until the returned guard is dropped.
@@ -194,6 +184,7 @@
     /// limits are kept for those that are listed.
     pub fn sweep(&self, is_listed: impl Fn(&InstanceId) -> bool) {
         let now = Instant::now();
+        self.health.expire(&is_listed);
         self.states.lock().retain(|id, state| {
             state.idle.retain(|i| i.expires_at > now);
             let is_in_use = state.in_flight > 0 || !state.idle.is_empty();
@@ -207,13 +198,18 @@
         endpoint: &Endpoint,
         out: &OutgoingRequest<'_>,
     ) -> Result<EndpointResponse, SendError> {
+        let remaining = out.deadline.saturating_duration_since(Instant::now());
+        let mut attempt = Attempt::new(&self.health, endpoint, out.timed_as, remaining);
         let mut connection = match self.take_idle(&endpoint.id, out.refused_on).await {
             Some(connection) => connection,
-            None => self.connect(endpoint).await?,
+            None => self
+                .connect(endpoint)
+                .await
+                .inspect_err(|_| attempt.fail())?,
         };
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
-        let request = encode(endpoint, out, remaining);
+        let request = out.encode(endpoint, remaining);
         let response = async {
             conn.write(&request).await?;
             read_response_head(conn, out).await
@@ -223,20 +219,27 @@
             Err(e) => {
                 self.drop_idle(&endpoint.id);
                 self.mark_suspect(endpoint, Some(out.sent_request()));
+                attempt.fail();
                 return Err(SendError::Lost(e.to_string()));
             }
         };
         let info = headers::response_info(&head.headers, head.status);
         self.record_load(&endpoint.id, &info);
         self.record_limit(&endpoint.id, &info);
-        Ok(EndpointResponse {
+        attempt.note_response();
+        let mut response = EndpointResponse {
             head,
             info,
             connection,
             upstream: Arc::clone(self),
             endpoint: endpoint.clone(),
             sent: out.sent_request(),
-        })
+            attempt,
+        };
+        if !response.is_trusted() {
+            response.note_failure();
+        }
+        Ok(response)
     }
 
     /// Takes an idle connection that is still usable and not among `refused_on`.
@@ -345,12 +348,8 @@
         let Some(state) = states.get_mut(id) else {
             return;
         };
-        if let Some(load) = info.load {
-            state.reported = Some(LoadReport {
-                load,
-                received_at: Instant::now(),
-                in_flight: state.in_flight,
-            });
+        if let Some(report) = info.load {
+            state.record_report(report);
         }
     }
 
@@ -442,38 +441,6 @@
     }
 }
 
-/// Encodes the request sent to an endpoint.
-fn encode(endpoint: &Endpoint, out: &OutgoingRequest<'_>, remaining: Duration) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(1024 + out.body.len());
-    let mut push = |parts: [&[u8]; 4]| parts.iter().for_each(|p| buf.extend_from_slice(p));
-    push([
-        out.method.as_bytes(),
-        b" ",
-        out.target.as_bytes(),
-        b" HTTP/1.1\r\n",
-    ]);
-    for (name, value) in out.headers.end_to_end() {
-        let is_secret = out.has_keys && headers::is_key(name);
-        if headers::is_forwarded(name) && !is_secret && !name.eq_ignore_ascii_case("expect") {
-            push([name.as_bytes(), b": ", value, b"\r\n"]);
-        }
-    }
-    for (name, value) in headers::forward_headers(remaining, &endpoint.id) {
-        push([name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    }
-    if let Some(name) = out.workspace {
-        let (name, value) = headers::workspace_header(name);
-        push([name.as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    }
-    if !out.body.is_empty() || !matches!(out.method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        let length = out.body.len().to_string();
-        push([b"Content-Length", b": ", length.as_bytes(), b"\r\n"]);
-    }
-    buf.extend_from_slice(b"\r\n");
-    buf.extend_from_slice(out.body);
-    buf
-}
-
 /// Parses the timeout of a `Keep-Alive` header.
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let parse_timeout = |p: &str| p.trim().strip_prefix("timeout=").map(str::to_owned);
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -8,6 +8,7 @@
 use super::{
     Upstream,
     endpoint_state::{ConnectionId, EndpointConnection, SentRequest},
+    health::Attempt,
 };
 use crate::http::{conn::ReadError, head::ResponseHead};
 
@@ -23,6 +24,7 @@
     pub(super) upstream: Arc<Upstream>,
     pub(super) endpoint: Endpoint,
     pub(super) sent: SentRequest,
+    pub(super) attempt: Attempt,
 }
 
 impl EndpointResponse {
@@ -42,18 +44,34 @@
         let conn = &mut self.connection.conn;
         let chunk = conn.read_body_chunk(&mut self.head.framing).await;
         if chunk.is_err() {
+            self.attempt.fail();
             self.upstream
                 .mark_suspect(&self.endpoint, Some(self.sent.clone()));
         }
         chunk
     }
 
+    /// Records that the response is not a complete one of the endpoint.
+    pub fn note_failure(&mut self) {
+        self.attempt.fail();
+    }
+
     /// Makes the connection available for reuse after the complete body has been read.
-    pub fn release_connection(self) {
+    pub fn release_connection(mut self) {
+        self.record_outcome();
         let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
         if is_reusable {
             self.upstream
                 .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
         }
     }
+
+    /// Records how the request ended; one that the endpoint did not execute tells nothing.
+    fn record_outcome(&mut self) {
+        match self.head.status {
+            _ if self.info.not_executed => {}
+            500.. => self.attempt.fail(),
+            _ => self.attempt.complete(self.info.load),
+        }
+    }
 }
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -221,7 +221,7 @@
 
     /// Returns the value of the first metric of a daemon whose line contains `label`, 0 if there
     /// is none.
-    async fn metric(&self, daemon: usize, label: &str) -> u64 {
+    pub async fn metric(&self, daemon: usize, label: &str) -> u64 {
         let addr = net::SocketAddr::new(self.addresses[daemon].into(), 7395);
         let request = ClientRequest::new(Method::Get, addr, "/metrics");
         let response = Client::default()
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod large_configurations;
 mod large_turns;
 mod outages;
+mod placement;
 mod rate_limits;
 mod requests;
 mod responses_without_length;
--- a/kingcupspan_core/src/gateway/placement.rs
+++ b/kingcupspan_core/src/gateway/placement.rs
@@ -18,7 +18,7 @@
     /// since. `None` if the endpoint has not reported its load recently.
     pub reported: Option<u32>,
 
-    /// Whether connections to the endpoint failed recently.
+    /// Whether connections to the endpoint failed recently, or its requests fail or take long.
     pub is_failing: bool,
 
     /// Number of requests that the endpoint runs at a time under the rate limit that it has named,
@@ -100,12 +100,22 @@
         u32::try_from(percent).unwrap_or(u32::MAX)
     }
 
+    /// Returns the utilization in percent of an endpoint whose work takes `pace` times as long as
+    /// at the others: its requests, and the one to be placed there, count as that many times more.
+    fn paced_utilization(&self, pace: f64) -> u32 {
+        let request = f64::from(FULL_PERCENT) / f64::from(self.slots());
+        let utilization = f64::from(self.utilization());
+        // Without a difference in pace, no request is added or taken away.
+        (utilization * pace + request * (pace - 1.0)).max(0.0) as u32
+    }
+
     /// Returns the utilization in percent; an endpoint that has not reported its load
     /// recently counts as at least as utilized as the mean.
-    fn utilization_or(&self, mean: u32) -> u32 {
+    fn utilization_or(&self, mean: u32, pace: f64) -> u32 {
+        let utilization = self.paced_utilization(pace);
         match self.load.reported {
-            Some(_) => self.utilization(),
-            None => self.utilization().max(mean),
+            Some(_) => utilization,
+            None => utilization.max(mean),
         }
     }
 }
@@ -128,8 +138,21 @@
     last: Option<&InstanceId>,
     tried: &[InstanceId],
 ) -> Option<usize> {
-    let mean = mean_utilization(candidates);
-    let utilization = |i: &usize| candidates[*i].utilization_or(mean);
+    let paces = vec![1.0; candidates.len()];
+    choose_paced_engine(candidates, &paces, key, last, tried)
+}
+
+/// Chooses an engine like [`choose_engine`], where the work of each takes `paces` times as long as
+/// at the others.
+pub fn choose_paced_engine(
+    candidates: &[Candidate],
+    paces: &[f64],
+    key: &str,
+    last: Option<&InstanceId>,
+    tried: &[InstanceId],
+) -> Option<usize> {
+    let mean = mean_utilization(candidates, paces);
+    let utilization = |i: &usize| candidates[*i].utilization_or(mean, paces[*i]);
     let order = order(candidates, key, |c| c.is_usable(tried));
     let is_last = |i: &usize| last == Some(&candidates[*i].endpoint.id);
     let last_engine = order.iter().copied().find(is_last);
@@ -157,11 +180,12 @@
 
 /// Returns the mean utilization of the engines without a rate limit whose load is known, in
 /// percent, or 0 if no load is known.
-fn mean_utilization(candidates: &[Candidate]) -> u32 {
+fn mean_utilization(candidates: &[Candidate], paces: &[f64]) -> u32 {
     let known: Vec<u64> = candidates
         .iter()
-        .filter(|c| c.load.reported.is_some() && !c.is_limited())
-        .map(|c| u64::from(c.utilization()))
+        .zip(paces)
+        .filter(|(c, _)| c.load.reported.is_some() && !c.is_limited())
+        .map(|(c, pace)| u64::from(c.paced_utilization(*pace)))
         .collect();
     let mean = known.iter().sum::<u64>() / known.len().max(1) as u64;
     u32::try_from(mean).unwrap_or(u32::MAX)
