--- a/kingcupspan/src/cli.rs
+++ b/kingcupspan/src/cli.rs
@@ -3,7 +3,10 @@
 use std::{net, path};
 
 use bpaf::Bpaf;
-use kingcupspan_core::id::{CallerId, Version};
+use kingcupspan_core::{
+    gateway::second_copy::CopyShare,
+    id::{CallerId, Version},
+};
 
 /// A scheduler for agent programs in front of shared model engines and services.
 #[derive(Debug, Clone, Bpaf)]
@@ -23,6 +26,11 @@
         /// File with the settings; by default named by an environment variable of the platform.
         #[bpaf(argument("FILE"))]
         settings: Option<path::PathBuf>,
+
+        /// Largest number of second copies of requests that may be repeated and whose endpoint is
+        /// slow to answer, as a share of these requests; by default 0, which sends none.
+        #[bpaf(argument("SHARE"), fallback(CopyShare::default()))]
+        second_copies: CopyShare,
     },
 
     /// Checks files with settings or configuration and prints every finding.
--- a/kingcupspan/src/command/gateway.rs
+++ b/kingcupspan/src/command/gateway.rs
@@ -4,6 +4,7 @@
 
 use async_std::task;
 use futures_lite::StreamExt;
+use kingcupspan_core::gateway::second_copy::CopyShare;
 use kingcupspan_platform::settings;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
@@ -18,7 +19,9 @@
 const LOG_LEVEL: &str = "info";
 
 /// Runs a gateway until its graceful shutdown is complete; returns the exit code.
-pub fn run(file: Option<path::PathBuf>) -> u8 {
+///
+/// Second copies are sent of up to `copy_share` of the requests that may be repeated.
+pub fn run(file: Option<path::PathBuf>, copy_share: CopyShare) -> u8 {
     // A signal that arrives before the handlers are installed terminates the process.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]);
     if let Err(e) = logging::start(LOG_LEVEL, logging::Target::Stdout) {
@@ -26,7 +29,7 @@
         return EXIT_FAILED;
     }
     match signals {
-        Ok(signals) => task::block_on(serve(file, signals)),
+        Ok(signals) => task::block_on(serve(file, copy_share, signals)),
         Err(e) => {
             log::error!(error = e.to_string().as_str(); "cannot handle signals");
             EXIT_FAILED
@@ -35,7 +38,7 @@
 }
 
 /// Serves requests until a signal requests a graceful shutdown.
-async fn serve(file: Option<path::PathBuf>, mut signals: Signals) -> u8 {
+async fn serve(file: Option<path::PathBuf>, copy_share: CopyShare, mut signals: Signals) -> u8 {
     let settings = match settings::read(file) {
         Ok(settings) => settings,
         Err(e) => {
@@ -60,7 +63,7 @@
             }
         }
     });
-    let service = run::assemble(&settings, rand::random());
+    let service = run::assemble(&settings, rand::random(), copy_share);
     run::run(service, listeners, rx, settings.grace).await;
     0
 }
--- a/kingcupspan/src/command/mod.rs
+++ b/kingcupspan/src/command/mod.rs
@@ -20,7 +20,10 @@
 pub fn run(options: Options) -> process::ExitCode {
     let code = match options {
         Options::Daemon { settings } => daemon::run(&settings),
-        Options::Gateway { settings } => gateway::run(settings),
+        Options::Gateway {
+            settings,
+            second_copies,
+        } => gateway::run(settings, second_copies),
         Options::Check { files } => check::run(&files),
         Options::Publish {
             settings,
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -49,11 +49,12 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store, of the
-    /// reservations at endpoints and of the endpoints that are avoided.
-    pub fn new(traffic: &Traffic, reservations: &IntCounterVec, avoidance: &IntCounterVec) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store and those of
+    /// other parts.
+    pub fn new(traffic: &Traffic, parts: &[&IntCounterVec]) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes, reservations, avoidance] {
+        let counters = [&traffic.calls, &traffic.bytes];
+        for &counters in counters.iter().chain(parts) {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -9,6 +9,7 @@
 
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Response};
+use kingcupspan_core::gateway::second_copy::CopyShare;
 use kingcupspan_platform::settings::Settings;
 use serde_json::json;
 
@@ -30,7 +31,7 @@
         partitions::Partitions,
         peer_service,
         peers::{Peer, Peers},
-        serve::Gateway,
+        serve::{Gateway, SecondCopies},
         shutdown::Shutdown,
         store::Store,
         upstream::Upstream,
@@ -77,7 +78,9 @@
 }
 
 /// Creates the state of the gateway and starts its background tasks.
-pub fn assemble(settings: &Settings, incarnation: u64) -> Arc<Gateway> {
+///
+/// Second copies are sent of up to `copy_share` of the requests that may be repeated.
+pub fn assemble(settings: &Settings, incarnation: u64, copy_share: CopyShare) -> Arc<Gateway> {
     let clock = Clock::default();
     let own_entry = Peer {
         vm: settings.vm.clone(),
@@ -118,11 +121,13 @@
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
     let upstream = Arc::new(Upstream::new(crash_sender));
-    let metrics = Metrics::new(
-        store.traffic(),
+    let second_copies = SecondCopies::new(copy_share);
+    let parts = [
         &endpoint_limits.reservations,
         &upstream.health.changes,
-    );
+        &second_copies.outcomes,
+    ];
+    let metrics = Metrics::new(store.traffic(), &parts);
     Arc::new(Gateway {
         configuration,
         configuration_follower,
@@ -136,6 +141,7 @@
         partitions,
         upstream,
         endpoint_limits,
+        second_copies,
         blocked_requests,
         last_engines: LastEngines::default(),
         domain: settings.domain.clone(),
@@ -185,6 +191,7 @@
         gateway.endpoints.expire();
         gateway.endpoint_limits.expire();
         gateway.blocked_requests.expire();
+        gateway.second_copies.expire();
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
     }
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -199,6 +199,26 @@
         chosen.map(|i| Arc::clone(&prospects[i].candidate.endpoint))
     }
 
+    /// Chooses an endpoint for a copy of a request other than `slow` and those in `tried`, one that
+    /// limits no rate and is not failing.
+    pub(super) fn choose_copy_endpoint(
+        &self,
+        ex: &Exchange,
+        slow: &InstanceId,
+        tried: &[InstanceId],
+    ) -> Option<Arc<Endpoint>> {
+        let ready = self.endpoints.ready(&ex.service);
+        let mut prospects = self.upstream.prospects(&ex.service, ready);
+        prospects.retain(|Prospect { candidate: c, .. }| {
+            let is_other = c.endpoint.id != *slow && !tried.contains(&c.endpoint.id);
+            is_other && !c.is_limited() && !c.load.is_failing
+        });
+        let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
+        let chosen =
+            expected_finish::choose_service_endpoint(&prospects, &self.domain, rotation, &[]);
+        chosen.map(|i| Arc::clone(&prospects[i].candidate.endpoint))
+    }
+
     /// Takes an avoided endpoint that should get a single request, if this is a first attempt of a
     /// request that has no prompt in an engine's cache.
     fn trial(
@@ -221,7 +241,7 @@
     }
 
     /// Endpoints that accept new requests of the service, with their load.
-    fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
         let ready = self.endpoints.ready(&ex.service);
         self.upstream.candidates(&ex.service, ready)
     }
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -3,6 +3,7 @@
 mod authenticate;
 mod choose;
 mod refuse;
+mod second_copy;
 mod send;
 
 use std::{
@@ -22,6 +23,7 @@
     },
 };
 
+pub use self::second_copy::SecondCopies;
 use crate::{
     gateway::{
         backlog::Backlog,
@@ -98,6 +100,9 @@
     /// Rate limits that endpoints have named.
     pub endpoint_limits: EndpointLimits,
 
+    /// Second copies of requests whose endpoint is slow to answer.
+    pub second_copies: SecondCopies,
+
     /// Requests blocked because they crash endpoints.
     pub blocked_requests: Arc<BlockedRequests>,
 
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -4,7 +4,7 @@
 
 use kingcupspan_core::gateway::{crash_tracker::Fingerprint, endpoint::InstanceId};
 
-use super::{Failure, Gateway};
+use super::{Failure, Gateway, second_copy::Sent};
 use crate::gateway::{
     error_response::{ErrorReason, ErrorResponse},
     exchange::{Exchange, Progress},
@@ -30,6 +30,7 @@
     ) -> Result<(EndpointResponse, RequestGuard), Failure> {
         let body = ex.prompt();
         let mut tried: Vec<InstanceId> = Vec::new();
+        let mut max_tried = MAX_ENDPOINTS_TRIED;
         loop {
             let chosen = self.choose_endpoint(ex, &tried).await;
             let endpoint = chosen.map_err(|response| match *possible_runs {
@@ -37,7 +38,12 @@
                 // The request may have run, so the error must not promise that it has not.
                 _ => ErrorReason::NoOutcome.into(),
             })?;
-            let request_guard = self.upstream.track_request(&endpoint.id);
+            ex.last_endpoint = Some(endpoint.id.clone());
+            // A call of a tool must not replace the engine of its program.
+            if let Some(key) = ex.info.placement_key().filter(|_| ex.runs_on_engine()) {
+                self.last_engines.record(key, &endpoint.id);
+            }
+            ex.progress = Progress::Sent;
             let outgoing = OutgoingRequest {
                 method: &ex.head.method,
                 target: &ex.head.target,
@@ -51,53 +57,27 @@
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
             };
-            ex.last_endpoint = Some(endpoint.id.clone());
-            // A call of a tool must not replace the engine of its program.
-            if let Some(key) = ex.info.placement_key().filter(|_| ex.runs_on_engine()) {
-                self.last_engines.record(key, &endpoint.id);
+            let copies = self.send_copies(ex, &outgoing, endpoint, &tried).await;
+            if copies.count() > 1 {
+                max_tried = max_tried.min(ex.route.max_attempts as usize);
             }
-            ex.progress = Progress::Sent;
-            let sent = self.upstream.send(&endpoint, &outgoing).await;
-            tried.push(endpoint.id.clone());
-            if matches!(&sent, Ok(response) if response.info.is_leaving) {
-                self.endpoints.note_leaving(&endpoint);
+            if let Some(cancelled) = &copies.cancelled {
+                tried.push(cancelled.id.clone());
+                self.metrics.sends.with_label_values(&["cancelled"]).inc();
+                *possible_runs += 1;
             }
-            self.metrics
-                .sends
-                .with_label_values(&[send_outcome(&sent)])
-                .inc();
-            match sent {
-                Ok(response) if response.info.not_executed => {
-                    log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = response.head.status; "endpoint refused the request");
-                    ex.refused_on.push(response.connection_id());
-                    relay::discard(response).await;
-                }
-                Ok(response) if !response.is_trusted() => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0; "discarding a success response without a signature");
-                    *possible_runs += 1;
-                    if !ex.can_retry(*possible_runs) {
-                        return Err(ErrorReason::NoOutcome.into());
-                    }
-                }
-                Ok(response) => {
-                    *possible_runs += 1;
-                    return Ok((response, request_guard));
-                }
-                Err(SendError::NotSent(cause)) => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "cannot reach the endpoint; the request was not sent");
-                }
-                Err(SendError::Lost(cause)) => {
-                    log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "no response from the endpoint; the request may have run");
-                    *possible_runs += 1;
-                    if !ex.can_retry(*possible_runs) {
-                        return Err(ErrorReason::NoOutcome.into());
-                    }
+            for sent in copies.ended {
+                tried.push(sent.endpoint.id.clone());
+                if let Some(answer) = self.settle(ex, sent, possible_runs).await {
+                    return Ok(answer);
                 }
             }
             if *possible_runs == 0 {
                 ex.progress = Progress::NotSent;
+            } else if !ex.can_retry(*possible_runs) {
+                return Err(ErrorReason::NoOutcome.into());
             }
-            if tried.len() >= MAX_ENDPOINTS_TRIED {
+            if tried.len() >= max_tried {
                 return Err(match *possible_runs {
                     0 => ErrorResponse {
                         reason: ErrorReason::EndpointsFull,
@@ -109,6 +89,51 @@
             }
         }
     }
+
+    /// Records how a request ended at an endpoint, and returns the response if it is an answer.
+    async fn settle(
+        &self,
+        ex: &mut Exchange,
+        sent: Sent,
+        possible_runs: &mut u32,
+    ) -> Option<(EndpointResponse, RequestGuard)> {
+        let Sent {
+            endpoint,
+            guard,
+            result,
+        } = sent;
+        if matches!(&result, Ok(response) if response.info.is_leaving) {
+            self.endpoints.note_leaving(&endpoint);
+        }
+        self.metrics
+            .sends
+            .with_label_values(&[send_outcome(&result)])
+            .inc();
+        match result {
+            Ok(response) if response.info.not_executed => {
+                log::info!(request = &*ex.id.0, endpoint = &*endpoint.id.0, status = response.head.status; "endpoint refused the request");
+                ex.refused_on.push(response.connection_id());
+                relay::discard(response).await;
+            }
+            Ok(response) if !response.is_trusted() => {
+                log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0; "discarding a success response without a signature");
+                *possible_runs += 1;
+            }
+            Ok(response) => {
+                ex.last_endpoint = Some(endpoint.id.clone());
+                *possible_runs += 1;
+                return Some((response, guard));
+            }
+            Err(SendError::NotSent(cause)) => {
+                log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "cannot reach the endpoint; the request was not sent");
+            }
+            Err(SendError::Lost(cause)) => {
+                log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "no response from the endpoint; the request may have run");
+                *possible_runs += 1;
+            }
+        }
+        None
+    }
 }
 
 /// Returns the outcome of sending a request, as labelled in the metrics.
--- a/kingcupspan/src/gateway/upstream/health.rs
+++ b/kingcupspan/src/gateway/upstream/health.rs
@@ -81,6 +81,13 @@
         self.tracker.lock().expire(self.clock.mono(), is_listed);
     }
 
+    /// Records a request that was cancelled after `elapsed`, since its copy was answered before.
+    pub fn record_cancelled(&self, endpoint: &Endpoint, route: &str, elapsed: Duration) {
+        let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
+        let timing = Timing { route, elapsed_ms };
+        self.record(endpoint, Outcome::Completed(Some(timing)));
+    }
+
     /// Records the outcome of a request.
     fn record(&self, endpoint: &Endpoint, outcome: Outcome<'_>) {
         let now = self.clock.mono();
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -112,7 +112,7 @@
             let settings = settings::daemon(&vm, domain, ip, store_addrs[i % store_addrs.len()]);
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
-            fleet.daemons.push(spawn_daemon(&settings_file));
+            fleet.daemons.push(spawn_daemon(&settings_file, &[]));
             fleet.addresses.push(ip);
             fleet.settings_files.push(settings_file);
         }
@@ -258,12 +258,17 @@
     /// Restarts a daemon that has ended; its settings no longer describe the first start of
     /// the system.
     pub fn restart(&mut self, daemon: usize) {
+        self.restart_with(daemon, &[]);
+    }
+
+    /// Restarts a daemon that has ended, with further command-line options.
+    pub fn restart_with(&mut self, daemon: usize, options: &[&str]) {
         let settings = fs::read_to_string(&self.settings_files[daemon])
             .expect("the settings file can be read");
         let restart_settings = settings.replace("\"bootstrap\":true", "\"bootstrap\":false");
         fs::write(&self.settings_files[daemon], restart_settings)
             .expect("the settings file can be written");
-        self.daemons[daemon] = spawn_daemon(&self.settings_files[daemon]);
+        self.daemons[daemon] = spawn_daemon(&self.settings_files[daemon], options);
     }
 }
 
@@ -279,9 +284,10 @@
     addr
 }
 
-/// Starts a gateway process.
-fn spawn_daemon(settings_file: &path::Path) -> Process {
+/// Starts a gateway process with further command-line options.
+fn spawn_daemon(settings_file: &path::Path, options: &[&str]) -> Process {
     let log = settings_file.with_extension("log");
     let settings_file = settings_file.to_str().expect("the path is UTF-8");
-    Process::kingcupspan(&["gateway", "--settings", settings_file], &log)
+    let arguments = [&["gateway", "--settings", settings_file], options].concat();
+    Process::kingcupspan(&arguments, &log)
 }
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod rate_limits;
 mod requests;
 mod responses_without_length;
+mod second_copies;
 mod shared_records;
 mod shutdown;
 mod workspaces;
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -20,5 +20,6 @@
 pub mod rate_limit;
 pub mod route_table;
 pub mod routing;
+pub mod second_copy;
 pub mod turn_queue;
 pub mod workspace;
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -17,5 +17,6 @@
 mod rate_limit;
 mod route_table;
 mod routing;
+mod second_copy;
 mod turn_queue;
 mod turn_spec;
