--- a/kingcupspan/src/gateway/serve/second_copy.rs
+++ b/kingcupspan/src/gateway/serve/second_copy.rs
@@ -103,17 +103,20 @@
 impl Gateway {
     /// Sends a request to an endpoint, and to another one if the first is slow to answer.
     ///
-    /// `tried` are the endpoints to which the request was sent before.
+    /// `tried` are the endpoints to which the request was just sent; `possible_runs` counts all
+    /// that may have run it.
     pub(super) async fn send_copies(
         &self,
         ex: &Exchange,
         out: &OutgoingRequest<'_>,
         endpoint: Arc<Endpoint>,
         tried: &[InstanceId],
+        possible_runs: u32,
     ) -> SentCopies {
         let started_at = Instant::now();
         let mut first = pin!(self.send_once(out, Arc::clone(&endpoint)));
-        let second_endpoint = match self.copy_delay(ex, tried) {
+        let sent = tried.len().max(possible_runs as usize);
+        let second_endpoint = match self.copy_delay(ex, sent) {
             Some(delay) => match future::timeout(delay, first.as_mut()).await {
                 Ok(sent) => return self.end_without_copy(ex, sent, started_at),
                 Err(_) => self.take_copy(ex, &endpoint, tried),
@@ -160,13 +163,14 @@
         }
     }
 
-    /// Returns the time after which a copy of the request may be sent.
-    fn copy_delay(&self, ex: &Exchange, tried: &[InstanceId]) -> Option<Duration> {
+    /// Returns the time after which a copy of a request may be sent that was sent to `sent`
+    /// endpoints before.
+    fn copy_delay(&self, ex: &Exchange, sent: usize) -> Option<Duration> {
         let policy = self.copy_policy(ex)?;
         let mut policy = policy.lock();
         policy.note_request(self.service_utilization(ex));
         let delay = policy.delay(&ex.route.name)?;
-        second_copy::leaves_room_for_copy(tried.len(), ex.route.max_attempts).then_some(delay)
+        second_copy::leaves_room_for_copy(sent, ex.route.max_attempts).then_some(delay)
     }
 
     /// Takes the right to send a copy, and chooses another endpoint for it than `slow` and those
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -57,7 +57,9 @@
                 deadline: ex.deadline,
                 refused_on: &ex.refused_on,
             };
-            let copies = self.send_copies(ex, &outgoing, endpoint, &tried).await;
+            let copies = self
+                .send_copies(ex, &outgoing, endpoint, &tried, *possible_runs)
+                .await;
             if copies.count() > 1 {
                 max_tried = max_tried.min(ex.route.max_attempts as usize);
             }
--- a/kingcupspan/tests/gateway/second_copies.rs
+++ b/kingcupspan/tests/gateway/second_copies.rs
@@ -70,3 +70,28 @@
     send_while_one_hangs(&fleet, "/safe/", 4).await;
     assert!((0..4).all(|i| runs(&fleet, &format!("slow{i}")) == 1));
 }
+
+// Guards against a third endpoint for a request whose first answer broke off and whose next one
+// is slow, where two are allowed.
+#[async_std::test]
+async fn request_that_was_repeated_gets_no_copy_beyond_its_attempts() {
+    let mut fleet = Fleet::start("gateway-copies-most", 1, 1_000).await;
+    let third = Fleet::start_endpoint(&fleet.store, "plain", "p3", EndpointBehavior::Plain);
+    fleet.daemons[0].kill();
+    fleet.restart_with(0, &["--second-copies", "1"]);
+    fleet.wait_until_ready().await;
+    for i in 0..30 {
+        let request = Request::plain("/safe/", &format!("usual{i}"));
+        assert_eq!(fleet.send(0, &request).await.status, 200);
+    }
+    fleet.service_endpoints[0].set_behavior(EndpointBehavior::TruncatesBody);
+    fleet.service_endpoints[1].set_behavior(EndpointBehavior::Hangs);
+    third.set_behavior(EndpointBehavior::Hangs);
+    for i in 0..6 {
+        let id = format!("slow{i}");
+        fleet.send(0, &Request::plain("/safe/", &id)).await;
+        let executed = third.executed_requests();
+        let at_third = executed.iter().filter(|r| r.id == id).count();
+        assert!(runs(&fleet, &id) + at_third <= 2, "{id}");
+    }
+}
