--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -55,15 +55,12 @@
 }
 
 impl Metrics {
-    /// Creates the metrics, which include the counters of the calls to the store, of the
-    /// reservations at endpoints and of refusals.
-    pub fn new(
-        traffic: &Traffic,
-        reservations: &IntCounterVec,
-        rejections: &IntCounterVec,
-    ) -> Self {
+    /// Creates the metrics, which include the counters of the calls to the store and those of
+    /// other parts.
+    pub fn new(traffic: &Traffic, parts: &[&IntCounterVec]) -> Self {
         let registry = Registry::new();
-        for counters in [&traffic.calls, &traffic.bytes, reservations, rejections] {
+        let counters = [&traffic.calls, &traffic.bytes];
+        for &counters in counters.iter().chain(parts) {
             register(&registry, Ok(counters.clone()));
         }
         let counters = |name: &str, help: &str, labels: &[&str]| {
@@ -108,11 +105,6 @@
         }
     }
 
-    /// Adds counters that another part of the daemon keeps.
-    pub fn add(&self, counters: &IntCounterVec) {
-        register(&self.registry, Ok(counters.clone()));
-    }
-
     /// Counts a finished request and records its duration.
     pub fn record_request(&self, status: u16, reason: &str, duration: Duration) {
         let labels = [&status.to_string(), reason];
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -9,8 +9,9 @@
 
 use async_std::{net::TcpListener, task};
 use http_types::{Method, Response};
-use kingcupspan_core::gateway::byte_budget::BudgetLimits;
-use kingcupspan_core::gateway::routing::Configuration;
+use kingcupspan_core::gateway::{
+    byte_budget::BudgetLimits, routing::Configuration, second_copy::CopyShare,
+};
 use kingcupspan_platform::settings::Settings;
 use serde_json::json;
 
@@ -35,7 +36,7 @@
         peers::{Peer, Peers},
         quotas::Quotas,
         rejections::Rejections,
-        serve::Gateway,
+        serve::{Gateway, SecondCopies},
         shutdown::Shutdown,
         store::Store,
         upstream::Upstream,
@@ -84,7 +85,9 @@
 }
 
 /// Creates the state of the gateway and starts its background tasks.
-pub fn assemble(settings: &Settings, incarnation: u64) -> Arc<Gateway> {
+///
+/// Second copies are sent of up to `copy_share` of the requests that may be repeated.
+pub fn assemble(settings: &Settings, incarnation: u64, copy_share: CopyShare) -> Arc<Gateway> {
     let clock = Clock::default();
     let own_entry = Peer {
         vm: settings.vm.clone(),
@@ -134,14 +137,18 @@
     task::spawn(async move { membership_follower.join_and_follow().await });
     let endpoint_limits = EndpointLimits::new(Arc::clone(&peers), clock);
     let rejections = Rejections::default();
-    let metrics = Metrics::new(
-        store.traffic(),
+    let quotas = Quotas::new(Arc::clone(&peers), clock, settings.domains.clone());
+    let upstream = Arc::new(Upstream::new(crash_sender));
+    let second_copies = SecondCopies::new(copy_share);
+    let parts = [
         &endpoint_limits.reservations,
+        &allocation_homes.requests,
+        &quotas.tokens,
         &rejections.counts,
-    );
-    let quotas = Quotas::new(Arc::clone(&peers), clock, settings.domains.clone());
-    metrics.add(&quotas.tokens);
-    metrics.add(&allocation_homes.requests);
+        &upstream.health.changes,
+        &second_copies.outcomes,
+    ];
+    let metrics = Metrics::new(store.traffic(), &parts);
     let caller_limits = BudgetLimits::for_vm(settings.memory_bytes, settings.max_fds);
     Arc::new(Gateway {
         configuration,
@@ -155,9 +162,10 @@
         store,
         membership,
         partitions,
-        upstream: Arc::new(Upstream::new(crash_sender)),
+        upstream,
         endpoint_limits,
         quotas: Arc::new(quotas),
+        second_copies,
         blocked_requests,
         last_engines: LastEngines::default(),
         workspace_use: WorkspaceUse::new(clock),
@@ -215,6 +223,7 @@
         gateway.quotas.expire();
         gateway.blocked_requests.expire();
         gateway.rejections.note_stalled(&gateway.callers);
+        gateway.second_copies.expire();
         gateway.ledger.expire(IDLE_PROGRAM_RETENTION);
         gateway.partitions.expire(IDLE_PROGRAM_RETENTION);
     }
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use kingcupspan_core::gateway::{
     endpoint::{Endpoint, InstanceId},
+    expected_finish::{self, Prospect},
     placement::{self, Candidate},
     rate_limit::{Claim, Reservation},
 };
@@ -176,32 +177,86 @@
         tried: &[InstanceId],
         denied: &[InstanceId],
     ) -> Option<Arc<Endpoint>> {
+        let prospects = self.prospects(ex, residence, denied);
+        let trial = self.trial(ex, &prospects, tried);
         let rotate = || self.rotation.fetch_add(1, Ordering::Relaxed);
-        self.place_rotated(ex, residence, tried, denied, rotate)
+        trial.or_else(|| self.place_among(ex, &prospects, tried, rotate))
     }
 
-    /// Places a request like [`Self::place`], with another rotation among equally good endpoints.
-    fn place_rotated(
+    /// Endpoints that take a request now, other than those in `denied`, and when each would have
+    /// finished it.
+    fn prospects(
         &self,
         ex: &Exchange,
         residence: &Residence,
-        tried: &[InstanceId],
         denied: &[InstanceId],
-        rotate: impl FnOnce() -> u64,
-    ) -> Option<Arc<Endpoint>> {
-        let mut candidates = self.candidates(ex);
-        candidates.retain(|c| {
-            let endpoint = &c.endpoint;
+    ) -> Vec<Prospect> {
+        let ready = self.endpoints.ready(&ex.service);
+        let mut prospects = self.upstream.prospects(&ex.service, ready);
+        prospects.retain(|p| {
+            let endpoint = &p.candidate.endpoint;
             !denied.contains(&endpoint.id) && !self.is_full(ex, residence, endpoint)
         });
+        prospects
+    }
+
+    /// Places a request at one of the given endpoints.
+    fn place_among(
+        &self,
+        ex: &Exchange,
+        prospects: &[Prospect],
+        tried: &[InstanceId],
+        rotate: impl FnOnce() -> u64,
+    ) -> Option<Arc<Endpoint>> {
         let chosen = match (ex.runs_on_engine(), ex.info.placement_key()) {
             (true, Some(key)) => {
                 let last = self.last_engines.get(key);
-                placement::choose_engine(&candidates, key, last.as_ref(), tried)
+                expected_finish::choose_engine(prospects, key, last.as_ref(), tried)
             }
-            _ => placement::choose_service_endpoint(&candidates, &self.domain, rotate(), tried),
+            _ => expected_finish::choose_service_endpoint(prospects, &self.domain, rotate(), tried),
         };
-        chosen.map(|i| Arc::clone(&candidates[i].endpoint))
+        chosen.map(|i| Arc::clone(&prospects[i].candidate.endpoint))
+    }
+
+    /// Chooses an endpoint for a copy of a request other than `slow` and those in `tried`, one that
+    /// limits no rate and is not failing.
+    pub(super) fn choose_copy_endpoint(
+        &self,
+        ex: &Exchange,
+        slow: &InstanceId,
+        tried: &[InstanceId],
+    ) -> Option<Arc<Endpoint>> {
+        let ready = self.endpoints.ready(&ex.service);
+        let mut prospects = self.upstream.prospects(&ex.service, ready);
+        prospects.retain(|Prospect { candidate: c, .. }| {
+            let is_other = c.endpoint.id != *slow && !tried.contains(&c.endpoint.id);
+            is_other && !c.is_limited() && !c.load.is_failing
+        });
+        let rotation = self.rotation.fetch_add(1, Ordering::Relaxed);
+        let chosen =
+            expected_finish::choose_service_endpoint(&prospects, &self.domain, rotation, &[]);
+        chosen.map(|i| Arc::clone(&prospects[i].candidate.endpoint))
+    }
+
+    /// Takes an avoided endpoint that should get a single request, if this is a first attempt of a
+    /// request that has no prompt in an engine's cache.
+    fn trial(
+        &self,
+        ex: &Exchange,
+        prospects: &[Prospect],
+        tried: &[InstanceId],
+    ) -> Option<Arc<Endpoint>> {
+        let key = ex.info.placement_key().filter(|_| ex.runs_on_engine());
+        let has_prompt_elsewhere = key.is_some_and(|key| self.last_engines.get(key).is_some());
+        if !tried.is_empty() || has_prompt_elsewhere {
+            return None;
+        }
+        let is_repeatable = ex.can_retry(1);
+        let id = self
+            .upstream
+            .take_trial(&ex.service, prospects, is_repeatable)?;
+        let mut endpoints = prospects.iter().map(|p| &p.candidate.endpoint);
+        endpoints.find(|e| e.id == id).map(Arc::clone)
     }
 
     /// Returns all endpoints that accept new requests of the service in the order in which a request
@@ -211,7 +266,11 @@
         let residence = self.residence(ex);
         let rotate = || self.rotation.load(Ordering::Relaxed);
         let mut order = Vec::new();
-        while let Some(e) = self.place_rotated(ex, &residence, &[], &order, rotate) {
+        let next = |order: &[InstanceId]| {
+            let prospects = self.prospects(ex, &residence, order);
+            self.place_among(ex, &prospects, &[], rotate)
+        };
+        while let Some(e) = next(&order) {
             order.push(e.id.clone());
         }
         let mut candidates = self.candidates(ex);
@@ -226,8 +285,9 @@
     }
 
     /// Endpoints that accept new requests of the service, with their load.
-    fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
-        self.upstream.candidates(self.endpoints.ready(&ex.service))
+    pub(super) fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
+        let ready = self.endpoints.ready(&ex.service);
+        self.upstream.candidates(&ex.service, ready)
     }
 
     /// Whether an endpoint limits the rate of requests and takes none as soon as a request needs.
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -5,6 +5,7 @@
 pub mod explain;
 mod quota;
 mod refuse;
+mod second_copy;
 mod send;
 
 use std::{
@@ -25,6 +26,7 @@
     },
 };
 
+pub use self::second_copy::SecondCopies;
 use crate::{
     gateway::{
         allocation_homes::AllocationHomes,
@@ -111,6 +113,8 @@
 
     /// Quotas of workspaces.
     pub quotas: Arc<Quotas>,
+    /// Second copies of requests whose endpoint is slow to answer.
+    pub second_copies: SecondCopies,
 
     /// Requests blocked because they crash endpoints.
     pub blocked_requests: Arc<BlockedRequests>,
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -89,8 +89,7 @@
         if program.previous.is_some() || ex.info.placement_key().is_some_and(has_last_engine) {
             return None;
         }
-        let engines = self.upstream.candidates(self.endpoints.ready(&ex.service));
-        admission::utilization(&engines)
+        admission::utilization(&self.candidates(ex))
     }
 
     /// Refuses a program that starts while the engines are overloaded.
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -142,7 +142,7 @@
             edit(&mut settings);
             let settings_file = folder.join(format!("{vm}.json"));
             fs::write(&settings_file, settings.to_string()).expect("the folder can be written");
-            fleet.daemons.push(spawn_daemon(&settings_file));
+            fleet.daemons.push(spawn_daemon(&settings_file, &[]));
             fleet.addresses.push(ip);
             fleet.settings_files.push(settings_file);
         }
@@ -266,7 +266,7 @@
 
     /// Returns the value of the first metric of a daemon whose line contains `label`, 0 if there
     /// is none.
-    async fn metric(&self, daemon: usize, label: &str) -> u64 {
+    pub async fn metric(&self, daemon: usize, label: &str) -> u64 {
         let text = self.operator_text(daemon, "/metrics").await;
         let mut lines = text.lines().filter(|l| !l.starts_with('#'));
         let line = lines.find(|l| l.contains(label));
@@ -293,12 +293,17 @@
     /// Restarts a daemon that has ended; its settings no longer describe the first start of
     /// the system.
     pub fn restart(&mut self, daemon: usize) {
+        self.restart_with(daemon, &[]);
+    }
+
+    /// Restarts a daemon that has ended, with further command-line options.
+    pub fn restart_with(&mut self, daemon: usize, options: &[&str]) {
         let settings = fs::read_to_string(&self.settings_files[daemon])
             .expect("the settings file can be read");
         let restart_settings = settings.replace("\"bootstrap\":true", "\"bootstrap\":false");
         fs::write(&self.settings_files[daemon], restart_settings)
             .expect("the settings file can be written");
-        self.daemons[daemon] = spawn_daemon(&self.settings_files[daemon]);
+        self.daemons[daemon] = spawn_daemon(&self.settings_files[daemon], options);
     }
 }
 
@@ -314,9 +319,10 @@
     addr
 }
 
-/// Starts a gateway process.
-fn spawn_daemon(settings_file: &path::Path) -> Process {
+/// Starts a gateway process with further command-line options.
+fn spawn_daemon(settings_file: &path::Path, options: &[&str]) -> Process {
     let log = settings_file.with_extension("log");
     let settings_file = settings_file.to_str().expect("the path is UTF-8");
-    Process::kingcupspan(&["gateway", "--settings", settings_file], &log)
+    let arguments = [&["gateway", "--settings", settings_file], options].concat();
+    Process::kingcupspan(&arguments, &log)
 }
