--- a/kingcupspan/tests/common/process.rs
+++ b/kingcupspan/tests/common/process.rs
@@ -19,7 +19,10 @@
 const BLOCK_ADDRESSES: u16 = 254;
 
 /// Number of blocks that belong to a process id.
-const BLOCKS: u16 = 3;
+const BLOCKS: u16 = 4;
+
+/// Number of process ids, divided by 256, for which a block has addresses of its own.
+const HIGH_OCTETS: u8 = 64;
 
 /// Number of loopback addresses assigned so far.
 static ASSIGNED_ADDRESSES: atomic::AtomicU16 = atomic::AtomicU16::new(0);
@@ -31,7 +34,12 @@
     let number = ASSIGNED_ADDRESSES.fetch_add(1, atomic::Ordering::SeqCst);
     let (block, n) = (number / BLOCK_ADDRESSES, number % BLOCK_ADDRESSES);
     assert!(block < BLOCKS, "no address is left");
-    let high = 64 * (1 + block) as u8 + ((pid >> 8) & 0x3f) as u8;
+    let offset = (pid >> 8) as u8 % HIGH_OCTETS;
+    let high = match block + 1 {
+        // The samples have addresses below 127.1.0.0.
+        BLOCKS => 1 + offset % (HIGH_OCTETS - 1),
+        later => HIGH_OCTETS * later as u8 + offset,
+    };
     net::Ipv4Addr::new(127, high, (pid & 0xff) as u8, 1 + n as u8)
 }
 
