--- a/kingcupspan/src/gateway/serve/quota.rs
+++ b/kingcupspan/src/gateway/serve/quota.rs
@@ -4,9 +4,13 @@
 //! spends it when it is sent. It gets another one if the first has expired by then, or if it is
 //! sent again although it may have run.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use kingcupspan_core::gateway::{quota::Token, workspace::Quota};
+use async_std::task;
+use kingcupspan_core::gateway::{
+    quota::{self, Token},
+    workspace::Quota,
+};
 use rand::Rng;
 
 use super::{Failure, Gateway, retry_later};
@@ -19,7 +23,7 @@
 impl Gateway {
     /// Gets a token for a request whose workspace has a quota.
     pub(super) async fn reserve_quota(&self, ex: &mut Exchange) -> Result<(), ErrorResponse> {
-        if let Some(quota) = quota(ex) {
+        if let Some(quota) = quota_of(ex) {
             ex.quota_token = Some(self.take_token(ex, quota).await?);
         }
         Ok(())
@@ -31,7 +35,7 @@
         ex: &mut Exchange,
         possible_runs: u32,
     ) -> Result<Option<Token>, Failure> {
-        let Some(quota) = quota(ex) else {
+        let Some(quota) = quota_of(ex) else {
             return Ok(None);
         };
         let reserved = ex.quota_token.take();
@@ -53,25 +57,41 @@
         }
     }
 
-    /// Takes a token of the workspace's quota.
+    /// Takes a token of the workspace's quota; waits for one if the workspace is only bursting.
     async fn take_token(&self, ex: &Exchange, quota: Quota) -> Result<Token, ErrorResponse> {
         let Some(workspace) = &ex.workspace else {
             return Err(ErrorReason::UnknownKey.into());
         };
         let version = ex.configuration.version;
-        let taken = self.quotas.take(&workspace.name, version, quota).await;
-        taken.map_err(|refusal| match refusal {
-            Refusal::Reached(retry_after) => ErrorResponse {
-                reason: ErrorReason::QuotaReached,
-                retry_after: Some(spread(retry_after)),
-            },
-            Refusal::NoHome => retry_later(ErrorReason::QuotaUnknown),
-        })
+        let started_at = Instant::now();
+        loop {
+            let taken = self.quotas.take(&workspace.name, version, quota).await;
+            let refusal = match taken {
+                Ok(token) => return Ok(token),
+                Err(refusal) => refusal,
+            };
+            let max_wait = quota::max_wait(
+                self.quotas.share_used(&workspace.name),
+                ex.route.target_latency,
+                ex.remaining_time(),
+            );
+            let remaining = max_wait.saturating_sub(started_at.elapsed());
+            match refusal {
+                Refusal::NoHome => return Err(retry_later(ErrorReason::QuotaUnknown)),
+                Refusal::Reached(retry_after) if remaining.is_zero() => {
+                    return Err(ErrorResponse {
+                        reason: ErrorReason::QuotaReached,
+                        retry_after: Some(spread(retry_after)),
+                    });
+                }
+                Refusal::Reached(retry_after) => task::sleep(retry_after.min(remaining)).await,
+            }
+        }
     }
 }
 
 /// Quota of the workspace of a request.
-fn quota(ex: &Exchange) -> Option<Quota> {
+fn quota_of(ex: &Exchange) -> Option<Quota> {
     ex.workspace.as_ref().and_then(|w| w.quota)
 }
 
--- a/kingcupspan_core/src/gateway/quota/mod.rs
+++ b/kingcupspan_core/src/gateway/quota/mod.rs
@@ -16,6 +16,7 @@
 mod lending;
 mod meter;
 mod moment;
+mod patience;
 
 pub use self::{
     allowance::{Allowance, Grant, Token},
@@ -24,6 +25,7 @@
     lending::{Lenders, Loans},
     meter::Meter,
     moment::Moment,
+    patience::max_wait,
 };
 use super::workspace::Quota;
 
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod history;
 mod outage;
 mod placement;
+mod quota_patience;
 mod rate_limit;
 mod route_table;
 mod routing;
