--- a/kingcupspan/src/gateway/partition_cursor.rs
+++ b/kingcupspan/src/gateway/partition_cursor.rs
@@ -91,7 +91,12 @@
         size: ResponseSize,
     ) -> Result<Snapshot, StoreFailure> {
         loop {
-            let offset = self.list_pages(store, partition, size).await?;
+            let is_first_call = self.progress == Progress::New;
+            let (offset, pages) = self.list_pages(store, partition, size).await?;
+            if is_first_call && pages == 1 {
+                // A single page is a snapshot by itself.
+                return Ok(std::mem::take(self).into_snapshot(offset));
+            }
             if let Some(end) = self.read_appended(store, partition, size, offset).await? {
                 return Ok(std::mem::take(self).into_snapshot(end));
             }
@@ -100,22 +105,25 @@
         }
     }
 
-    /// Lists the pages that are missing; returns the offset from which records are missing.
+    /// Lists the pages that are missing; returns the offset from which records are missing, and the
+    /// number of pages listed.
     async fn list_pages(
         &mut self,
         store: &Store,
         partition: Partition<'_>,
         size: ResponseSize,
-    ) -> Result<u64, StoreFailure> {
+    ) -> Result<(u64, usize), StoreFailure> {
+        let mut pages = 0;
         loop {
             let known_end = match self.progress {
                 Progress::New => None,
                 Progress::Pages { first_end } => Some(first_end),
-                Progress::Appended { next_offset } => return Ok(next_offset),
+                Progress::Appended { next_offset } => return Ok((next_offset, pages)),
             };
             let page = store
                 .page(partition, self.last_key.as_deref(), size)
                 .await?;
+            pages += 1;
             self.add(page.records);
             let first_end = known_end.unwrap_or(page.end);
             // Without a key to continue behind, the first page would be returned again.
--- a/kingcupspan/tests/gateway/paged_reads.rs
+++ b/kingcupspan/tests/gateway/paged_reads.rs
@@ -30,6 +30,7 @@
     settings,
     store::{self, StoreBehavior},
 };
+use prometheus::core::Collector;
 
 use crate::process;
 
@@ -374,6 +375,25 @@
     assert_eq!(newest("n11"), None);
 }
 
+// Guards against a further call for each of the many partitions that a daemon lists: one page is a
+// snapshot by itself.
+#[async_std::test]
+async fn listing_of_a_single_page_takes_one_call() {
+    let platform = Platform::start().await;
+    platform.store.put("keyed.turns-0", "n00", Some("only"));
+    let (store, _) = platform.client("started");
+    let mut cursor = PartitionCursor::default();
+    let partition = Partition::new("keyed.turns-0", 0);
+    let mut received = 0;
+    let advanced = cursor.advance(&store, partition, |c| received += c.records().len());
+    advanced.await.expect("the store responds");
+    let calls = store.traffic().calls.collect();
+    let calls = calls.iter().flat_map(|family| family.get_metric());
+    let calls: f64 = calls.map(|m| m.get_counter().get_value()).sum();
+    assert_eq!((received, calls), (1, 1.0));
+    assert!(cursor.next_offset().is_some());
+}
+
 // Guards against topics that are created by their first record: until then no read of them
 // succeeds, and none is needed.
 #[async_std::test]
