--- a/kingcupspan/src/gateway/peers/mod.rs
+++ b/kingcupspan/src/gateway/peers/mod.rs
@@ -146,6 +146,33 @@
         self.ranked_where(key, max, |p| p.domain == domain)
     }
 
+    /// The daemons of this failure domain in the rendezvous order of a key, also those that did not
+    /// respond lately, up to this one.
+    pub fn listed_up_to_local(&self, key: &str, max: usize) -> Vec<Peer> {
+        let listed = self.listed_in_own_domain(key).into_iter();
+        let before = listed.take_while(|p| p.vm != self.local.vm);
+        before.take(max).collect()
+    }
+
+    /// The daemons of this failure domain in the rendezvous order of a key, also those that did not
+    /// respond lately, after this one.
+    pub fn listed_after_local(&self, key: &str, max: usize) -> Vec<Peer> {
+        let listed = self.listed_in_own_domain(key).into_iter();
+        let from_local = listed.skip_while(|p| p.vm != self.local.vm);
+        from_local.skip(1).take(max).collect()
+    }
+
+    /// The daemons of this failure domain in the rendezvous order of a key.
+    fn listed_in_own_domain(&self, key: &str) -> Vec<Peer> {
+        let members = self.members.read();
+        let own_domain = members.values().filter(|p| p.domain == self.local.domain);
+        let others = own_domain.map(|p| p.vm.as_str());
+        let others = others.filter(|vm| *vm != self.local.vm);
+        let ranked = rendezvous::ranked(key, others.chain([self.local.vm.as_str()]));
+        let peer = |vm: &str| members.get(vm).unwrap_or(&self.local).clone();
+        ranked.into_iter().map(peer).collect()
+    }
+
     /// Daemons for which `filter` holds in the rendezvous order of a key, without those that did
     /// not respond lately.
     fn ranked_where(&self, key: &str, max: usize, filter: impl Fn(&Peer) -> bool) -> Vec<Peer> {
@@ -259,6 +286,12 @@
         self.last_responses.lock().insert(domain, Instant::now());
     }
 
+    /// Whether the member list has no other daemon of this failure domain.
+    pub fn is_alone_in_domain(&self) -> bool {
+        let is_other = |p: &Peer| p.vm != self.local.vm && p.domain == self.local.domain;
+        !self.members.read().values().any(is_other)
+    }
+
     /// Whether another daemon of this failure domain was heard of within `span`, or there is none.
     pub async fn hears_own_domain(&self, span: Duration) -> bool {
         let domain = &self.local.domain;
--- a/kingcupspan/src/gateway/quotas/home_state.rs
+++ b/kingcupspan/src/gateway/quotas/home_state.rs
@@ -21,6 +21,9 @@
 /// Time for which the homes of another failure domain are remembered.
 const HOMES_VALID_FOR: Duration = Duration::from_millis(1_000);
 
+/// Pause between two claims of a workspace.
+const CLAIM_PAUSE: Duration = Duration::from_millis(200);
+
 /// Time for which a home of another failure domain may go on to grant tokens.
 const FORMER_HOME_RECENT: Duration = Duration::from_millis(8_000);
 
@@ -42,6 +45,9 @@
     pub workspace: WorkspaceName,
     pub home: Mutex<Home>,
 
+    /// When this daemon last claimed the workspace.
+    claimed_at: Mutex<Option<Instant>>,
+
     /// Held while other failure domains are asked for tokens.
     pub borrowing: sync::Mutex<()>,
 
@@ -55,11 +61,22 @@
         Self {
             workspace: question.workspace.clone(),
             home: Mutex::new(Home::new(question.version, question.quota, part, now)),
+            claimed_at: Mutex::default(),
             borrowing: sync::Mutex::default(),
             other_homes: Mutex::default(),
         }
     }
 
+    /// Whether the workspace should be claimed now; counts as a claim.
+    pub fn should_claim(&self) -> bool {
+        let mut claimed_at = self.claimed_at.lock();
+        let is_recent = claimed_at.is_some_and(|at| at.elapsed() < CLAIM_PAUSE);
+        if !is_recent {
+            *claimed_at = Some(Instant::now());
+        }
+        !is_recent
+    }
+
     /// The daemon to ask for tokens of another failure domain.
     pub fn other_home(&self, domain: &str, peers: &Peers) -> Option<Peer> {
         let mut homes = self.other_homes.lock();
--- a/kingcupspan/src/gateway/quotas/homes.rs
+++ b/kingcupspan/src/gateway/quotas/homes.rs
@@ -1,56 +1,55 @@
 //! Homes of workspaces: grant the tokens of this failure domain and borrow those of others.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::{future, task};
-use kingcupspan_core::{
-    gateway::{
-        incarnation::Incarnation,
-        quota::{Grant, Granted, Home, Moment, Part},
-        workspace::{Quota, WorkspaceName},
-    },
-    id::MonoMs,
+use kingcupspan_core::gateway::{
+    quota::{Grant, Granted, Home, Moment, Part},
+    workspace::{Quota, WorkspaceName},
 };
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
+use serde::Serialize;
 
-use super::{home_state::HomeState, ranking::Ranking};
+use super::{home_state::HomeState, ranking::Ranking, succession::Successor};
 use crate::{
     clock::Clock,
-    gateway::peers::{Peer, PeerRequest, PeerResponse, Peers, QuotaAnswer, QuotaQuestion},
+    gateway::peers::{Peer, Peers, QuotaAnswer, QuotaQuestion},
 };
 
 /// Time for which a question waits for tokens of other failure domains.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Time for which the answer to a question that was passed on is waited for.
-const FORWARD_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Number of daemons from which a new home claims a workspace until one responds.
-const MAX_CLAIMS: usize = 4;
-
-/// Pause between two claims.
-const CLAIM_PAUSE: Duration = Duration::from_millis(100);
-
-/// Time for which a former home passes questions on to its successor, in milliseconds.
-const SUCCESSION_MS: u64 = 8_000;
-
 /// Time within which another daemon of this failure domain has to be heard of.
 const DOMAIN_HEARD_WITHIN: Duration = Duration::from_millis(1_500);
 
 /// Pause of the process after which other homes may have taken over, in milliseconds.
 const LONG_PAUSE_MS: u64 = 2_500;
 
-/// Home that has taken over from this daemon.
-struct Successor {
-    peer: Peer,
-    until: MonoMs,
+/// Use of a quota in this failure domain, as the state dump shows it.
+#[derive(Debug, Clone, Serialize)]
+pub struct QuotaUse {
+    rate_per_s: f64,
+    burst: f64,
+
+    /// Tokens of this failure domain that are not granted.
+    tokens_left: f64,
+
+    /// Tokens that its daemons have got lately.
+    granted_per_s: f64,
+
+    /// Whether few are granted, since another home may grant some too.
+    is_reduced: bool,
 }
 
 /// Homes that a daemon is.
 pub struct Homes {
-    peers: Arc<Peers>,
-    clock: Clock,
+    pub(super) peers: Arc<Peers>,
+    pub(super) clock: Clock,
 
     /// All failure domains of the settings; none if they name none.
     listed_domains: Vec<String>,
@@ -58,11 +57,11 @@
     /// Tokens by what happened to them.
     tokens: IntCounterVec,
 
-    /// Daemons in the order in which they become home.
-    ranking: Ranking,
+    /// Daemons that become home before this one.
+    pub(super) ranking: Ranking,
 
-    states: Mutex<HashMap<WorkspaceName, Arc<HomeState>>>,
-    successors: Mutex<HashMap<WorkspaceName, Successor>>,
+    pub(super) states: Mutex<HashMap<WorkspaceName, Arc<HomeState>>>,
+    pub(super) successors: Mutex<HashMap<WorkspaceName, Successor>>,
 
     /// Time at which the process last ran.
     last_active: Mutex<Moment>,
@@ -110,18 +109,21 @@
         if question.is_forwarded && has_resigned {
             return None;
         }
-        if !question.is_forwarded
-            && let Some(home) = self.better_home(&question.workspace)
-        {
-            if let Some(answer) = self.forward(&home, &question).await {
-                return Some(answer);
+        if !question.is_forwarded {
+            for home in self.better_homes(&question.workspace) {
+                if let Some(answer) = self.forward(&home, &question).await {
+                    return Some(answer);
+                }
+            }
+            if has_resigned {
+                self.resume(&question);
             }
-            self.resume(&question);
         }
         let is_isolated = !self.peers.hears_own_domain(DOMAIN_HEARD_WITHIN).await;
         let state = self.state(&question);
-        if is_isolated {
-            state.home.lock().bucket.restrain(self.clock.mono());
+        match is_isolated {
+            true => state.home.lock().bucket.restrain(self.clock.mono()),
+            false => self.claim_if_reduced(&state),
         }
         self.check_former_home(&state, question.former_home.as_ref());
         if question.domain != self.peers.local.domain {
@@ -143,6 +145,25 @@
         successor
     }
 
+    /// Use of the quotas of the workspaces whose home this daemon is.
+    pub fn uses(&self) -> BTreeMap<String, QuotaUse> {
+        let now = self.clock.mono();
+        let states = self.states.lock();
+        let uses = states.values().map(|state| {
+            let mut home = state.home.lock();
+            let (_, quota) = home.limit();
+            let quota_use = QuotaUse {
+                rate_per_s: f64::from(quota.rate),
+                burst: quota.burst,
+                tokens_left: home.bucket.level(now),
+                granted_per_s: home.bucket.use_per_s(now),
+                is_reduced: home.bucket.is_reduced(now),
+            };
+            (state.workspace.to_string(), quota_use)
+        });
+        uses.collect()
+    }
+
     /// Notes that the process runs; forgets successors.
     pub fn expire(&self) {
         self.note_activity();
@@ -281,137 +302,8 @@
         }
     }
 
-    /// Another daemon that is home of a workspace as far as this one knows: one that has taken over,
-    /// or the first in the workspace's order.
-    fn better_home(&self, workspace: &WorkspaceName) -> Option<Peer> {
-        let first = || {
-            let domain = &self.peers.local.domain;
-            let mut ranked = self.ranking.ranked(&self.peers, domain, workspace);
-            ranked.truncate(1);
-            ranked.pop()
-        };
-        let home = self.successor(workspace).or_else(first)?;
-        (!self.is_local(&home)).then_some(home)
-    }
-
-    /// Passes a question on to the home; this daemon is no home any more once it has answered.
-    async fn forward(
-        self: &Arc<Self>,
-        home: &Peer,
-        question: &QuotaQuestion,
-    ) -> Option<QuotaAnswer> {
-        let mut question = question.clone();
-        question.is_forwarded = true;
-        let state = self.states.lock().get(&question.workspace).cloned();
-        if state.is_some() {
-            question.former_home = Some(self.peers.local.incarnation.clone());
-        }
-        let (homes, home) = (Arc::clone(self), home.clone());
-        let workspace = question.workspace.clone();
-        let exchange = task::spawn(async move { homes.ask(&home, &question).await });
-        let answer = future::timeout(FORWARD_TIMEOUT, exchange)
-            .await
-            .ok()
-            .flatten();
-        if answer.is_some() {
-            self.states.lock().remove(&workspace);
-        }
-        answer
-    }
-
-    /// Asks another home; `None` if it does not respond.
-    async fn ask(&self, home: &Peer, question: &QuotaQuestion) -> Option<QuotaAnswer> {
-        let request = PeerRequest::GrantQuota(question.clone());
-        match self.peers.send(home, &request).await {
-            Ok(PeerResponse::QuotaGranted(answer)) => answer,
-            _ => None,
-        }
-    }
-
-    /// Takes over from a home that has lately answered the sender of a question, if there is one.
-    fn check_former_home(self: &Arc<Self>, state: &Arc<HomeState>, former: Option<&Incarnation>) {
-        let Some(former) = former.filter(|f| **f != self.peers.local.incarnation) else {
-            return;
-        };
-        let now = self.clock.mono();
-        if !state.home.lock().bucket.take_over(former, now) {
-            return;
-        }
-        log::info!(workspace = &*state.workspace.0, former = &*former.0; "this daemon has become home of the workspace");
-        if let Some(peer) = self.peers.by_incarnation(former) {
-            task::spawn(Arc::clone(self).claim(Arc::clone(state), peer));
-        }
-    }
-
-    /// Tells a daemon that this one is home; grants at the full rate once the other one knows.
-    /// Returns false if the other one does not respond.
-    async fn claim(self: Arc<Self>, state: Arc<HomeState>, former: Peer) -> bool {
-        let request = PeerRequest::TakeOverQuota {
-            workspace: state.workspace.clone(),
-            successor: self.peers.local.clone(),
-        };
-        let Ok(PeerResponse::QuotaHome(home)) = self.peers.send(&former, &request).await else {
-            return false;
-        };
-        if self.is_local(&home) {
-            let now = self.clock.mono();
-            state.home.lock().bucket.end_restraint(now);
-        } else {
-            self.states.lock().remove(&state.workspace);
-        }
-        self.set_successor(state.workspace.clone(), home);
-        true
-    }
-
-    /// Claims a workspace from the daemon that others ask if they do not reach this one.
-    async fn claim_from_next(self: Arc<Self>, state: Arc<HomeState>) {
-        let domain = &self.peers.local.domain;
-        for _ in 0..MAX_CLAIMS {
-            let ranked = self.ranking.ranked(&self.peers, domain, &state.workspace);
-            let Some(next) = ranked.into_iter().find(|p| !self.is_local(p)) else {
-                let now = self.clock.mono();
-                return state.home.lock().bucket.end_restraint(now);
-            };
-            if Arc::clone(&self).claim(Arc::clone(&state), next).await {
-                return;
-            }
-            self.ranking.forget(&state.workspace);
-            task::sleep(CLAIM_PAUSE).await;
-        }
-    }
-
-    /// Whether a daemon is this one.
-    fn is_local(&self, peer: &Peer) -> bool {
-        peer.vm == self.peers.local.vm
-    }
-
-    /// Becomes home again, since the successor does not respond.
-    fn resume(self: &Arc<Self>, question: &QuotaQuestion) {
-        self.ranking.forget(&question.workspace);
-        let former = self.successors.lock().remove(&question.workspace);
-        if former.is_some() {
-            let now = self.clock.mono();
-            self.state(question).home.lock().bucket.restrain(now);
-        }
-    }
-
-    /// The daemon to which questions for a workspace are passed on.
-    fn successor(&self, workspace: &WorkspaceName) -> Option<Peer> {
-        let now = self.clock.mono();
-        let successors = self.successors.lock();
-        let successor = successors.get(workspace).filter(|s| now < s.until);
-        successor.map(|s| s.peer.clone())
-    }
-
-    /// Passes questions for a workspace on to a daemon from now on.
-    fn set_successor(&self, workspace: WorkspaceName, peer: Peer) {
-        let until = MonoMs(self.clock.mono().0 + SUCCESSION_MS);
-        let successor = Successor { peer, until };
-        self.successors.lock().insert(workspace, successor);
-    }
-
     /// State of a workspace, whose limit is that of the newest configuration.
-    fn state(self: &Arc<Self>, question: &QuotaQuestion) -> Arc<HomeState> {
+    pub(super) fn state(self: &Arc<Self>, question: &QuotaQuestion) -> Arc<HomeState> {
         let now = self.clock.mono();
         let part = self.part(&question.quota);
         let mut states = self.states.lock();
@@ -420,11 +312,15 @@
             home.set_limit(question.version, question.quota, part, now);
             return Arc::clone(state);
         }
+
         let state = Arc::new(HomeState::new(question, part, now));
         states.insert(question.workspace.clone(), Arc::clone(&state));
         drop(states);
-        state.home.lock().bucket.reduce(now);
-        task::spawn(Arc::clone(self).claim_from_next(Arc::clone(&state)));
+        let first = self.better_homes(&question.workspace).into_iter().next();
+        match &first {
+            Some(_) => state.home.lock().bucket.replace_home(now),
+            None => state.home.lock().bucket.reduce(now),
+        }
         state
     }
 
--- a/kingcupspan/src/gateway/quotas/mod.rs
+++ b/kingcupspan/src/gateway/quotas/mod.rs
@@ -6,6 +6,7 @@
 mod home_state;
 mod homes;
 mod ranking;
+mod succession;
 mod workspace_state;
 
 use std::{
--- a/kingcupspan/src/gateway/quotas/ranking.rs
+++ b/kingcupspan/src/gateway/quotas/ranking.rs
@@ -1,4 +1,4 @@
-//! Remembers in which order daemons become home of a workspace.
+//! Remembers which daemons come before this one in the orders in which daemons become home.
 
 use std::{
     collections::HashMap,
@@ -8,33 +8,30 @@
 use kingcupspan_core::gateway::workspace::WorkspaceName;
 use parking_lot::Mutex;
 
-use super::HOMES_ASKED;
 use crate::gateway::peers::{Peer, Peers};
 
 /// Time for which an order is remembered.
 const VALID_FOR: Duration = Duration::from_millis(1_000);
 
-/// Orders of the daemons of one failure domain, by workspace, and when they were determined.
+/// Number of daemons before this one that are asked whether they are home.
+const MAX_BEFORE: usize = 3;
+
+/// Daemons before this one and when they were determined, by workspace.
 #[derive(Default)]
 pub struct Ranking(Mutex<HashMap<WorkspaceName, (Instant, Vec<Peer>)>>);
 
 impl Ranking {
-    /// The first daemons of a failure domain in a workspace's order.
-    pub fn ranked(&self, peers: &Peers, domain: &str, workspace: &WorkspaceName) -> Vec<Peer> {
+    /// The first daemons in a workspace's order, up to this one.
+    pub fn before_local(&self, peers: &Peers, workspace: &WorkspaceName) -> Vec<Peer> {
         let mut orders = self.0.lock();
-        if let Some((at, ranked)) = orders.get(workspace)
+        if let Some((at, before)) = orders.get(workspace)
             && at.elapsed() < VALID_FOR
         {
-            return ranked.clone();
+            return before.clone();
         }
-        let ranked = peers.ranked_in_domain(domain, &workspace.0, HOMES_ASKED);
-        orders.insert(workspace.clone(), (Instant::now(), ranked.clone()));
-        ranked
-    }
-
-    /// Forgets an order, since a daemon in it did not respond.
-    pub fn forget(&self, workspace: &WorkspaceName) {
-        self.0.lock().remove(workspace);
+        let before = peers.listed_up_to_local(&workspace.0, MAX_BEFORE);
+        orders.insert(workspace.clone(), (Instant::now(), before.clone()));
+        before
     }
 
     /// Forgets orders that are no longer valid.
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -233,7 +233,7 @@
     let limits: BTreeMap<String, f64> = limits
         .map(|(id, rate)| (id.to_string(), rate.per_s()))
         .collect();
-    let state = json!({
+    let mut state = json!({
         "configuration": gateway.configuration.get(),
         "endpoints": endpoints,
         "endpoint_limits_per_s": limits,
@@ -242,6 +242,10 @@
         "requests_under_way": gateway.shutdown.in_flight(),
         "stopping": gateway.shutdown.is_stopping()
     });
+    let quotas = gateway.quotas.homes.uses();
+    if !quotas.is_empty() {
+        state["quotas"] = json!(quotas);
+    }
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::JSON);
     res.set_body(state.to_string());
--- a/kingcupspan_core/src/gateway/quota/bucket.rs
+++ b/kingcupspan_core/src/gateway/quota/bucket.rs
@@ -106,12 +106,24 @@
         self.reduced_until = MonoMs(now.0 + RETURN_MS);
     }
 
+    /// Drops all tokens and reduces the rate for a while, since the first home does not respond.
+    pub fn replace_home(&mut self, now: MonoMs) {
+        self.fill(now);
+        self.level = 0.0;
+        self.reduce(now);
+    }
+
     /// Reduces the rate until other homes are known to grant nothing.
     pub fn reduce(&mut self, now: MonoMs) {
         self.fill(now);
         self.reduced_until = self.reduced_until.max(MonoMs(now.0 + TAKEOVER_MS));
     }
 
+    /// Whether the rate is reduced.
+    pub fn is_reduced(&self, now: MonoMs) -> bool {
+        now < self.reduced_until
+    }
+
     /// Ends the reduction of the rate, since the former home grants nothing any more.
     pub fn end_restraint(&mut self, now: MonoMs) {
         self.fill(now);
@@ -126,9 +138,7 @@
         if is_known {
             return false;
         }
-        self.fill(now);
-        self.level = 0.0;
-        self.reduce(now);
+        self.replace_home(now);
         self.former_home = Some((former.clone(), now));
         true
     }
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -12,6 +12,8 @@
 mod history;
 mod outage;
 mod placement;
+mod quota;
+mod quota_model;
 mod rate_limit;
 mod route_table;
 mod routing;
