--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -310,6 +310,10 @@
     if let Some(workspaces) = workspaces {
         state["workspaces"] = workspaces.into();
     }
+    let quotas = gateway.quotas.homes.uses();
+    if !quotas.is_empty() {
+        state["quotas"] = json!(quotas);
+    }
     let mut res = Response::new(200);
     res.set_content_type(http_types::mime::JSON);
     res.set_body(state.to_string());
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -17,6 +17,8 @@
 mod history;
 mod outage;
 mod placement;
+mod quota;
+mod quota_model;
 mod quota_patience;
 mod rate_limit;
 mod route_table;
