--- a/kingcupspan/src/http/held_bytes.rs
+++ b/kingcupspan/src/http/held_bytes.rs
@@ -198,8 +198,12 @@
 
     /// Records that the connection sends to its caller until the returned guard is dropped.
     pub fn begin_sending(&self) -> Sending<'_> {
+        let former = self.held.state.lock().budget.stage(self.id);
         self.set_stage(Stage::Sending);
-        Sending(self)
+        Sending {
+            holder: self,
+            former: former.unwrap_or(Stage::Processing),
+        }
     }
 }
 
@@ -214,10 +218,15 @@
 }
 
 /// Marks a connection as sending to its caller until it is dropped.
-pub struct Sending<'a>(&'a Holder);
+pub struct Sending<'a> {
+    holder: &'a Holder,
+
+    /// What the connection did before.
+    former: Stage,
+}
 
 impl Drop for Sending<'_> {
     fn drop(&mut self) {
-        self.0.set_stage(Stage::Processing);
+        self.holder.set_stage(self.former);
     }
 }
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod endless_responses;
 mod explain;
 mod fleet;
+mod held_bytes;
 mod hostile_clients;
 mod large_configurations;
 mod large_turns;
