--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod endless_responses;
 mod explain;
 mod fleet;
+mod held_bytes;
 mod hostile_clients;
 mod large_configurations;
 mod large_turns;
