--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
     history::{self, Turn},
     quota::Token,
     routing::{Configuration, Route, ServiceName},
-    workspace::{Workspace, WorkspaceName},
+    workspace::{self, Workspace, WorkspaceName},
 };
 
 use crate::{
@@ -166,12 +166,10 @@
         self.workspace.as_ref().map(|w| &w.name)
     }
 
-    /// Rank of the request, 0 is the highest: that of its workspace, or else that of its route.
+    /// Rank of the request by its workspace and its route; 0 is the highest.
     pub fn rank(&self) -> u32 {
-        let workspace = self.workspace.as_ref();
-        workspace
-            .and_then(|w| w.priority)
-            .unwrap_or(self.route.priority)
+        let priority = self.workspace.as_ref().and_then(|w| w.priority);
+        workspace::rank(priority, self.route.priority)
     }
 
     /// Fingerprint shared by all attempts of the request, used to attribute crashes.
--- a/kingcupspan/src/gateway/quotas/mod.rs
+++ b/kingcupspan/src/gateway/quotas/mod.rs
@@ -19,6 +19,7 @@
 use kingcupspan_core::{
     gateway::{
         quota::{Grant, Part, Token},
+        shares::Shares,
         workspace::{Quota, WorkspaceName},
     },
     id::Version,
@@ -135,6 +136,14 @@
         (told_at.elapsed() < SHARE_VALID_FOR).then_some(share)
     }
 
+    /// What a workspace uses of its quota, and what all do; `None` if no home has told lately.
+    pub fn shares(&self, workspace: &WorkspaceName) -> Option<(f64, Shares)> {
+        let used = self.share_used(workspace)?;
+        let names: Vec<WorkspaceName> = self.workspaces.lock().keys().cloned().collect();
+        let all = names.iter().filter_map(|name| self.share_used(name));
+        Some((used, Shares::new(all.collect())))
+    }
+
     /// Forgets workspaces without requests, and tells which are no longer refused.
     pub fn expire(&self) {
         self.homes.expire();
--- a/kingcupspan/src/gateway/serve/explain.rs
+++ b/kingcupspan/src/gateway/serve/explain.rs
@@ -130,7 +130,7 @@
             .and_then(|()| self.refuse_if_cut_off(ex))
             .and_then(|()| self.refuse_in_outage(ex));
         let utilization = self.utilization_at_start(ex);
-        let share = |u| admission::refused_share(u, ex.route.priority).clamp(0.0, 1.0);
+        let share = |u| admission::refused_share(u, ex.rank()).clamp(0.0, 1.0);
         let places = self.placements(ex).into_iter();
         Explanation {
             configuration: ex.configuration.version.0,
@@ -162,7 +162,7 @@
     RouteChoice {
         name: ex.route.name.clone(),
         service: ex.service.to_string(),
-        rank: ex.route.priority,
+        rank: ex.rank(),
         is_repeatable: ex.route.is_idempotent(),
         max_attempts: ex.route.max_attempts,
         deadline_ms: milliseconds(ex.deadline - ex.received_at),
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -102,7 +102,10 @@
             return Ok(());
         }
         let workspace = ex.workspace_name();
-        let shares = workspace.map(|w| self.workspace_use.shares(w));
+        let shares = workspace.map(|w| {
+            let by_quota = self.quotas.shares(w);
+            by_quota.unwrap_or_else(|| self.workspace_use.shares(w))
+        });
         let (rank, draw) = (ex.rank(), rand::random());
         let is_admitted = match shares {
             Some((share_used, shares)) => {
--- a/kingcupspan_core/src/gateway/shares.rs
+++ b/kingcupspan_core/src/gateway/shares.rs
@@ -37,6 +37,10 @@
 /// Largest part of the programs within a share that is refused for their rank alone.
 const MAX_REFUSED_FOR_RANK: f64 = 0.9;
 
+/// Part of a workspace's programs beyond its share from which on it alone causes the lack of room, so
+/// that programs of all other workspaces are refused like those of the highest rank.
+const FULL_RELIEF_EXCESS: f64 = 0.5;
+
 /// Time in which the memory of past requests fades to 1/e, in milliseconds.
 const USE_FADES_MS: f64 = 5_000.0;
 
@@ -102,19 +106,18 @@
 
     /// Part that is refused of the programs within the share of their workspace.
     fn refused_within_share(&self, utilization: f64, rank: u32) -> f64 {
-        let is_any_exceeded = self.excess(self.highest) > 0.0;
         let highest_rank = refused_share(
             utilization,
             HIGHEST_RANK_UTILIZATION,
             REFUSAL_RANGE_UTILIZATION,
         );
-        match rank == 0 || is_any_exceeded {
-            true => highest_rank,
-            false => {
-                let refused = admission::refused_share(utilization, rank).clamp(0.0, 1.0);
-                refused.min(MAX_REFUSED_FOR_RANK).max(highest_rank)
-            }
+        if rank == 0 {
+            return highest_rank;
         }
+        let by_rank = admission::refused_share(utilization, rank).clamp(0.0, 1.0);
+        let by_rank = by_rank.min(MAX_REFUSED_FOR_RANK).max(highest_rank);
+        let relief = (self.excess(self.highest) / FULL_RELIEF_EXCESS).min(1.0);
+        relief * highest_rank + (1.0 - relief) * by_rank
     }
 }
 
--- a/kingcupspan_core/src/gateway/workspace.rs
+++ b/kingcupspan_core/src/gateway/workspace.rs
@@ -38,6 +38,20 @@
     }
 }
 
+/// Returns the rank of a request by the priority of its workspace, if that has one, and of its route;
+/// 0 is the highest.
+///
+/// Requests of a workspace of the highest priority go before the ranks of routes. Among those of other
+/// workspaces the rank of the route decides, too: an urgent request of a workspace is not put beside
+/// those of its own that can wait.
+pub fn rank(workspace: Option<u32>, route: u32) -> u32 {
+    match workspace {
+        None => route,
+        Some(0) => 0,
+        Some(priority) => (priority - 1).saturating_add(route),
+    }
+}
+
 /// Limit on the requests of a workspace through all daemons together.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
--- a/kingcupspan_core/tests/gateway/workspace.rs
+++ b/kingcupspan_core/tests/gateway/workspace.rs
@@ -241,3 +241,15 @@
     let id = WorkspaceName::from("north").qualify("t1");
     assert_eq!(workspace::readable(&id), "north/t1");
 }
+
+// Guards against urgent requests of most workspaces that are refused like those that can wait, since
+// the priority of the workspace replaces the rank of the route.
+#[test]
+fn ranks_follow_the_workspace_and_then_the_route() {
+    assert_eq!(workspace::rank(None, 2), 2);
+    assert_eq!(workspace::rank(Some(0), 2), 0);
+    assert_eq!(workspace::rank(Some(1), 0), 0);
+    assert_eq!(workspace::rank(Some(1), 2), 2);
+    assert!(workspace::rank(Some(2), 0) > workspace::rank(Some(1), 0));
+    assert!(workspace::rank(Some(u32::MAX), u32::MAX) > 0);
+}
