--- a/kingcupspan/src/gateway/serve/authenticate.rs
+++ b/kingcupspan/src/gateway/serve/authenticate.rs
@@ -34,10 +34,7 @@
         let key = headers::key(head.headers.all(headers::AUTHORIZATION));
         let workspace = key.and_then(|key| workspaces.find(key));
         match workspace {
-            Some(workspace) => {
-                self.workspace_use.record_request(workspace);
-                Ok(Some(Arc::clone(workspace)))
-            }
+            Some(workspace) => Ok(Some(Arc::clone(workspace))),
             None if route.is_public => Ok(None),
             None => Err(self.refuse_without_workspace(info, configuration)),
         }
--- a/kingcupspan/src/gateway/serve/explain.rs
+++ b/kingcupspan/src/gateway/serve/explain.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use kingcupspan_core::gateway::{admission, endpoint::Endpoint, placement::Candidate};
+use kingcupspan_core::gateway::{endpoint::Endpoint, placement::Candidate};
 use kingcupspan_platform::headers;
 use serde::{Deserialize, Serialize};
 
@@ -46,7 +46,7 @@
     /// Service whose endpoints run the request.
     pub service: String,
 
-    /// Rank of the route, 0 is the highest.
+    /// Rank of the request, 0 is the highest.
     pub rank: u32,
 
     /// Whether a request that may have run can be sent again.
@@ -130,7 +130,7 @@
             .and_then(|()| self.refuse_if_cut_off(ex))
             .and_then(|()| self.refuse_in_outage(ex));
         let utilization = self.utilization_at_start(ex);
-        let share = |u| admission::refused_share(u, ex.route.priority).clamp(0.0, 1.0);
+        let share = |u| self.refused_share(ex, u);
         let places = self.placements(ex).into_iter();
         Explanation {
             configuration: ex.configuration.version.0,
@@ -162,7 +162,7 @@
     RouteChoice {
         name: ex.route.name.clone(),
         service: ex.service.to_string(),
-        rank: ex.route.priority,
+        rank: ex.rank(),
         is_repeatable: ex.route.is_idempotent(),
         max_attempts: ex.route.max_attempts,
         deadline_ms: milliseconds(ex.deadline - ex.received_at),
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -251,6 +251,9 @@
     /// Serves a request until its response has been sent, its deadline expires or its
     /// caller disconnects.
     pub async fn serve(&self, ex: &mut Exchange, caller: &mut Conn) -> Outcome {
+        if let Some(workspace) = &ex.workspace {
+            self.workspace_use.record_request(workspace);
+        }
         let stream = caller.stream().clone();
         let remaining = ex.remaining_time();
         // A request with side effects is completed even if its caller has disconnected.
--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -92,6 +92,21 @@
         admission::utilization(&self.candidates(ex))
     }
 
+    /// Part of the programs like that of the request that is refused at a utilization of the
+    /// engines, from 0 to 1.
+    pub(super) fn refused_share(&self, ex: &Exchange, utilization: f64) -> f64 {
+        if admission::has_room(utilization) {
+            return 0.0;
+        }
+        let rank = ex.rank();
+        match ex.workspace_name().map(|w| self.workspace_use.shares(w)) {
+            Some((share_used, shares)) => {
+                shares.refused_share(utilization, Contender { rank, share_used })
+            }
+            None => admission::refused_share(utilization, rank).clamp(0.0, 1.0),
+        }
+    }
+
     /// Refuses a program that starts while the engines are overloaded.
     pub(super) fn admit_program(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         let (Some(program), Some(utilization)) = (&ex.info.program, self.utilization_at_start(ex))
--- a/kingcupspan/src/gateway/workspace_use.rs
+++ b/kingcupspan/src/gateway/workspace_use.rs
@@ -14,7 +14,7 @@
 /// Requests of a workspace since this daemon started.
 #[derive(Debug, Default, Clone)]
 struct Counts {
-    /// All requests whose key was known.
+    /// All requests whose key was known and that were not refused for their route or content.
     requests: u64,
 
     /// Those that ended with a response of this daemon, by its reason.
--- a/kingcupspan/tests/gateway/explain.rs
+++ b/kingcupspan/tests/gateway/explain.rs
@@ -11,6 +11,7 @@
 use kingcupspan_platform_standin::{
     caller::Request,
     endpoint::{Endpoint, EndpointBehavior},
+    settings,
 };
 
 use crate::fleet::Fleet;
@@ -116,3 +117,37 @@
     let json: Explanation = serde_json::from_str(&output(&["--json"])).expect("it is JSON");
     assert_eq!(json, explained);
 }
+
+// Guards against explanations that count as requests of a workspace, or that name the rank of the
+// route where that of the workspace decides.
+#[async_std::test]
+async fn workspaces_are_explained_and_not_counted() {
+    let configuration = settings::configuration(2, 3_000);
+    let configuration = settings::with_workspaces(configuration, &[("north", "north-key")]);
+    let fleet = Fleet::start_with_workspaces("gateway-explain-rank", 1, &configuration).await;
+    let with_key = |mut request: Request| {
+        request.headers += "Authorization: Bearer north-key\r\n";
+        request
+    };
+    // One of the four requests is the first turn itself, which has ended.
+    fleet.engine.report_load(4, 0, 4);
+    let first = with_key(Request::turn("first", "w1", None, 1_000));
+    assert_eq!(fleet.send(0, &first).await.status, 200);
+    let counted = || async {
+        let dump = fleet.operator_text(0, "/dump").await;
+        let dump: serde_json::Value = serde_json::from_str(&dump).expect("the dump is JSON");
+        dump["workspaces"][0]["requests"].as_u64()
+    };
+    let before = counted().await;
+    let new = with_key(Request::turn("new", "w2", None, 1_000));
+    let explained = explain(&fleet, &new).await;
+    assert_eq!(counted().await, before, "an explanation was counted");
+    assert_eq!(explained.workspace.as_deref(), Some("north"));
+    let route = explained.route.as_ref().expect("there is a route");
+    assert_eq!(route.rank, 1, "{explained:?}");
+    // At a utilization of 0.75, programs of rank 0 all begin, and nine of ten others do.
+    assert!(
+        (explained.refused_share - 0.1).abs() < 1e-6,
+        "{explained:?}"
+    );
+}
--- a/kingcupspan_core/src/gateway/shares.rs
+++ b/kingcupspan_core/src/gateway/shares.rs
@@ -85,10 +85,15 @@
     ///
     /// `draw` is a random number, uniformly distributed in 0..1.
     pub fn should_admit(&self, utilization: f64, contender: Contender, draw: f64) -> bool {
+        draw >= self.refused_share(utilization, contender)
+    }
+
+    /// Part of a workspace's programs that is refused, from 0 to 1.
+    pub fn refused_share(&self, utilization: f64, contender: Contender) -> f64 {
         let excess = self.excess(contender.share_used);
         let refused_excess = refused_beyond_share(utilization, contender.rank);
         let refused = self.refused_within_share(utilization, contender.rank);
-        draw >= excess * refused_excess + (1.0 - excess) * refused
+        excess * refused_excess + (1.0 - excess) * refused
     }
 
     /// Part of a workspace's programs that is beyond its share, from 0 to 1.
