--- a/kingcupspan_core/src/gateway/allocation_homes.rs
+++ b/kingcupspan_core/src/gateway/allocation_homes.rs
@@ -16,6 +16,9 @@
 /// others.
 const ALLOCATIONS_SHARE: f64 = 0.4;
 
+/// Longest time between two calls of a home; daemons that ask it wait for little longer.
+const MAX_SPACING: Duration = Duration::from_millis(100);
+
 /// Number of daemons that keep up with the records of a partition: its home, and those that take
 /// its place.
 pub const FOLLOWERS: usize = 3;
@@ -27,7 +30,11 @@
 }
 
 /// Returns the shortest time between two calls of the home of one of `partitions`.
+///
+/// If the store takes so few appends that this exceeded [`MAX_SPACING`], homes take more than
+/// their share of them: otherwise every daemon would give up waiting and make its own calls.
 pub fn call_spacing(appends_per_s: f64, partitions: u32) -> Duration {
     let calls_per_s = appends_per_s * ALLOCATIONS_SHARE / f64::from(partitions.max(1));
-    Duration::try_from_secs_f64(1.0 / calls_per_s).unwrap_or_default()
+    let spacing = Duration::try_from_secs_f64(1.0 / calls_per_s).unwrap_or(MAX_SPACING);
+    spacing.min(MAX_SPACING)
 }
--- a/kingcupspan_core/tests/gateway/allocation_homes.rs
+++ b/kingcupspan_core/tests/gateway/allocation_homes.rs
@@ -23,3 +23,12 @@
         assert!(spacing <= Duration::from_millis(50), "{spacing:?}");
     }
 }
+
+// Guards against calls so rare that whoever asks a home has given up before the next one is made.
+#[test]
+fn calls_are_made_while_the_daemons_that_asked_still_wait() {
+    for (appends_per_s, partitions) in [(40.0, 16), (200.0, 64), (1e-9, 1)] {
+        let spacing = allocation_homes::call_spacing(appends_per_s, partitions);
+        assert!(spacing <= Duration::from_millis(100), "{spacing:?}");
+    }
+}
