--- a/kingcupspan/src/gateway/serve/refuse.rs
+++ b/kingcupspan/src/gateway/serve/refuse.rs
@@ -3,7 +3,12 @@
 use std::time::Duration;
 
 use kingcupspan_core::gateway::{
-    admission, call::CallInfo, outage, routing::Configuration, shares::Contender, workspace,
+    admission,
+    call::CallInfo,
+    outage,
+    routing::Configuration,
+    shares::{Contender, Shares},
+    workspace,
 };
 
 use super::{Gateway, retry_later};
@@ -92,34 +97,42 @@
         admission::utilization(&self.candidates(ex))
     }
 
+    /// Part of the programs like that of the request that is refused at a utilization of the
+    /// engines, from 0 to 1.
+    pub(super) fn refused_share(&self, ex: &Exchange, utilization: f64) -> f64 {
+        if admission::has_room(utilization) {
+            return 0.0;
+        }
+        let rank = ex.rank();
+        match self.shares(ex) {
+            Some((share_used, shares)) => {
+                shares.refused_share(utilization, Contender { rank, share_used })
+            }
+            None => admission::refused_share(utilization, rank).clamp(0.0, 1.0),
+        }
+    }
+
+    /// What the workspace of the request uses of its share, and what all do: of its quota by what
+    /// homes have told, or else of an equal share by the requests of this daemon.
+    fn shares(&self, ex: &Exchange) -> Option<(f64, Shares)> {
+        let workspace = ex.workspace_name()?;
+        let by_quota = self.quotas.shares(workspace);
+        Some(by_quota.unwrap_or_else(|| self.workspace_use.shares(workspace)))
+    }
+
     /// Refuses a program that starts while the engines are overloaded.
     pub(super) fn admit_program(&self, ex: &Exchange) -> Result<(), ErrorResponse> {
         let (Some(program), Some(utilization)) = (&ex.info.program, self.utilization_at_start(ex))
         else {
             return Ok(());
         };
-        if admission::has_room(utilization) {
-            return Ok(());
-        }
-        let workspace = ex.workspace_name();
-        let shares = workspace.map(|w| {
-            let by_quota = self.quotas.shares(w);
-            by_quota.unwrap_or_else(|| self.workspace_use.shares(w))
-        });
-        let (rank, draw) = (ex.rank(), rand::random());
-        let is_admitted = match shares {
-            Some((share_used, shares)) => {
-                let contender = Contender { rank, share_used };
-                shares.should_admit(utilization, contender, draw)
-            }
-            None => admission::should_admit(utilization, rank, draw),
-        };
-        if is_admitted {
+        if rand::random::<f64>() >= self.refused_share(ex, utilization) {
             return Ok(());
         }
-        let workspace = workspace.map_or("-", |w| &*w.0);
+        let workspace = ex.workspace_name().map_or("-", |w| &*w.0);
+        let shares = self.shares(ex);
         let excess = shares.map_or(0.0, |(share_used, shares)| shares.excess(share_used));
-        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), workspace, rank, pressure = utilization, excess; "program refused: engines are overloaded");
+        log::info!(request = &*ex.id.0, program = &*workspace::readable(&program.program.0), workspace, rank = ex.rank(), pressure = utilization, excess; "program refused: engines are overloaded");
         Err(ErrorResponse {
             reason: ErrorReason::EnginesOverloaded,
             retry_after: Some(admission::retry_after(rand::random())),
