--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -5,7 +5,11 @@
 //! need not be agreed: an allocation may be made by any daemon, also by several, since a record that
 //! is appended twice counts once, and every daemon that appends one reads all records before it.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use async_std::task;
 use kingcupspan_core::gateway::{
@@ -200,11 +204,17 @@
         self.partitions.note_settlement(settlement);
         let Settlement { program, id, used } = settlement.clone();
         let message = PeerRequest::Settle { program, id, used };
+        let asked_at = Instant::now();
         for home in homes {
             if let Some(PeerResponse::Settled(true)) = self.ask(&home, &message).await {
                 return Ok(());
             }
         }
+        // After a wait for homes it may be held back no longer.
+        let urgency = match asked_at.elapsed() < CONNECT_TIMEOUT {
+            true => urgency,
+            false => Urgency::Now,
+        };
         self.partitions.settle(settlement, urgency).await
     }
 
--- a/kingcupspan/tests/gateway/allocation_homes.rs
+++ b/kingcupspan/tests/gateway/allocation_homes.rs
@@ -6,7 +6,7 @@
 };
 
 use async_std::task;
-use kingcupspan_platform_standin::caller::Request;
+use kingcupspan_platform_standin::{caller::Request, endpoint::EndpointBehavior, settings};
 
 use crate::{budgets, fleet::Fleet};
 
@@ -90,3 +90,42 @@
     }
     fleet.daemons[3].resume();
 }
+
+// Guards against turns that count as in flight for longer than the platform allows, since the homes
+// that were to settle them stopped responding meanwhile.
+#[async_std::test]
+async fn turns_are_settled_in_time_if_homes_freeze_while_they_run() {
+    let fleet = Fleet::start_with_few_appends("gateway-home-settle", 3, 4_000).await;
+    let mut configuration = settings::configuration(2, 4_000);
+    configuration["routes"][0]["retain_history"] = false.into();
+    let configuration = configuration.to_string();
+    fleet.store.put("keyed.op", "config", Some(&configuration));
+    fleet.engine.set_behavior(EndpointBehavior::Stream {
+        events: 2,
+        pause: Duration::from_millis(400),
+    });
+    task::sleep(Duration::from_millis(3_000)).await;
+    let fleet = Arc::new(fleet);
+    let turns: Vec<_> = (0..8)
+        .map(|i| {
+            let fleet = Arc::clone(&fleet);
+            task::spawn(async move {
+                let turn = Request::turn(&format!("p{i}"), &format!("t{i}"), None, 1_000);
+                fleet.send(0, &turn).await.status
+            })
+        })
+        .collect();
+    task::sleep(Duration::from_millis(400)).await;
+    assert_eq!(fleet.store.record_count("keyed.takings"), 8);
+    fleet.daemons[1].suspend();
+    fleet.daemons[2].suspend();
+    for turn in turns {
+        assert_eq!(turn.await, 200);
+    }
+    task::sleep(budgets::SETTLE_TIME).await;
+    // Each settlement has a record of its own and deletes the allocation.
+    let records = fleet.store.record_count("keyed.takings");
+    fleet.daemons[1].resume();
+    fleet.daemons[2].resume();
+    assert_eq!(records, 3 * 8);
+}
--- a/kingcupspan/tests/gateway/budgets.rs
+++ b/kingcupspan/tests/gateway/budgets.rs
@@ -14,7 +14,7 @@
 use crate::fleet::Fleet;
 
 /// Time since its end within which the platform counts a turn like one in flight.
-const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+pub const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Sends turns of a program alternately to the first two daemons until one is refused, and
 /// kills and restarts the first daemon in between; returns the number of tokens received
