--- a/kingcupspan/src/command/explain.rs
+++ b/kingcupspan/src/command/explain.rs
@@ -3,6 +3,7 @@
 use std::{fmt::Write, net};
 
 use http_types::{Method, Url};
+use kingcupspan_platform::headers;
 
 use crate::{
     command::{EXIT_FAILED, operator},
@@ -12,9 +13,6 @@
 /// Identifier of the request in the daemon's log, unless a header names another one.
 const REQUEST_ID: &str = "explain";
 
-/// Header with the identifier of a request, in lowercase.
-const REQUEST_ID_HEADER: &str = "kingcupspan-request-id:";
-
 /// Prints where a request would go, and why; returns the exit code.
 pub fn run(
     daemon: net::SocketAddr,
@@ -39,17 +37,20 @@
 }
 
 /// Returns the path at the daemon that explains a request to `target`, its host and path.
-pub fn request_path(method: &str, headers: &[String], target: &str) -> String {
+pub fn request_path(method: &str, caller_headers: &[String], target: &str) -> String {
     let (host, path) = target.split_at(target.find('/').unwrap_or(target.len()));
     let path = if path.is_empty() { "/" } else { path };
     let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
-    for header in headers {
+    for header in caller_headers {
         head.push_str(header);
         head.push_str("\r\n");
     }
-    let has_id = |h: &String| h.to_ascii_lowercase().starts_with(REQUEST_ID_HEADER);
-    if !headers.iter().any(has_id) {
-        head.push_str(&format!("{REQUEST_ID_HEADER} {REQUEST_ID}\r\n"));
+    let is_id = |h: &String| {
+        let name = h.split(':').next();
+        name.is_some_and(|name| name.eq_ignore_ascii_case(headers::REQUEST_ID))
+    };
+    if !caller_headers.iter().any(is_id) {
+        head.push_str(&format!("{}: {REQUEST_ID}\r\n", headers::REQUEST_ID));
     }
     head.push_str("\r\n");
     let mut url = Url::parse("http://daemon/explain").expect("the address is valid");
@@ -117,7 +118,7 @@
         let _ = write!(out, ", limited to {per_s} a second");
     }
     if place.is_failing {
-        out.push_str(", connections fail");
+        out.push_str(", fails or is slow");
     }
     if !place.takes_now {
         out.push_str(", takes none now");
--- a/kingcupspan/src/gateway/quotas/home_state.rs
+++ b/kingcupspan/src/gateway/quotas/home_state.rs
@@ -39,7 +39,10 @@
 
 /// State of a workspace at its home.
 pub struct HomeState {
+    /// The workspace.
     pub workspace: WorkspaceName,
+
+    /// Tokens of this failure domain.
     pub home: Mutex<Home>,
 
     /// Held while other failure domains are asked for tokens.
--- a/kingcupspan/src/gateway/serve/explain.rs
+++ b/kingcupspan/src/gateway/serve/explain.rs
@@ -97,7 +97,7 @@
     /// Requests of all daemons that the endpoint reported lately, running and waiting.
     pub reported: Option<u32>,
 
-    /// Whether connections to it failed recently.
+    /// Whether connections to it failed recently, or its requests fail or take long.
     pub is_failing: bool,
 
     /// Rate limit that it has named.
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -113,6 +113,7 @@
 
     /// Quotas of workspaces.
     pub quotas: Arc<Quotas>,
+
     /// Second copies of requests whose endpoint is slow to answer.
     pub second_copies: SecondCopies,
 
--- a/kingcupspan/tests/gateway/quotas.rs
+++ b/kingcupspan/tests/gateway/quotas.rs
@@ -43,8 +43,9 @@
     let workspaces = [("probes", PROBE_KEY), ("limited", KEY)];
     let mut configuration =
         settings::with_workspaces(settings::configuration(2, 2_000), &workspaces);
-    configuration["tenants"][1]["rate_per_s"] = json!(rate_per_s);
-    configuration["tenants"][1]["burst"] = json!(BURST);
+    let limited = &mut configuration[settings::WORKSPACES][1];
+    limited["rate_per_s"] = json!(rate_per_s);
+    limited["burst"] = json!(BURST);
     Fleet::start_with_workspaces(name, DAEMONS, &configuration).await
 }
 
--- a/kingcupspan/tests/gateway/workspaces.rs
+++ b/kingcupspan/tests/gateway/workspaces.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use kingcupspan_core::digest::Digest;
-use kingcupspan_platform::headers::HeaderLookup;
+use kingcupspan_platform::headers::{self, HeaderLookup};
 use kingcupspan_platform_standin::{
     caller::{self, Request},
     endpoint::ExecutedRequest,
@@ -50,14 +50,14 @@
 async fn endpoints_are_told_the_workspace_and_no_key() {
     let fleet = start_fleet("gateway-workspace-name", 1).await;
     let mut request = with_key(Request::plain("/safe/x", "r1"), NORTH_KEY);
-    request.headers += "Kingcupspan-Tenant: south\r\n";
+    request.headers += &format!("{}: south\r\n", headers::WORKSPACE);
     assert_eq!(fleet.send(0, &request).await.status, 200);
     let executed = executed_requests(&fleet, "r1");
     assert_eq!(executed.len(), 1);
-    let headers = &executed[0].headers;
-    let names: Vec<&[u8]> = headers.all("kingcupspan-tenant").collect();
+    let sent = &executed[0].headers;
+    let names: Vec<&[u8]> = sent.all(headers::WORKSPACE).collect();
     assert_eq!(names, [b"north"]);
-    assert_eq!(headers.get("authorization"), None);
+    assert_eq!(sent.get(headers::AUTHORIZATION), None);
 }
 
 // Guards against requests that run without a key, or with one that no workspace holds.
@@ -279,9 +279,10 @@
     let request = with_key(Request::plain("/safe/x", "r1"), "callers-own");
     assert_eq!(fleet.send(0, &request).await.status, 200);
     let executed = executed_requests(&fleet, "r1");
-    let headers = &executed[0].headers;
-    assert_eq!(headers.get("authorization"), Some("Bearer callers-own"));
-    assert_eq!(headers.get("kingcupspan-tenant"), None);
+    let sent = &executed[0].headers;
+    let authorization = sent.get(headers::AUTHORIZATION);
+    assert_eq!(authorization, Some("Bearer callers-own"));
+    assert_eq!(sent.get(headers::WORKSPACE), None);
 }
 
 // Guards against a record with a key that two workspaces hold, which would open one to the other.
@@ -292,7 +293,9 @@
     task::sleep(APPLY_TIMEOUT).await;
     assert_eq!(fleet.configuration_version(0).await, 2);
     let log = fleet.log(0);
-    assert!(log.contains("/tenants/1/api_keys/0: /tenants/0 holds the same key"));
+    let list = settings::WORKSPACES;
+    let finding = format!("/{list}/1/api_keys/0: /{list}/0 holds the same key");
+    assert!(log.contains(&finding), "{log}");
     assert!(!log.contains(SOUTH_KEY));
     let request = with_key(Request::plain("/safe/x", "r1"), NORTH_KEY);
     assert_eq!(fleet.send(0, &request).await.status, 200);
