--- a/kingcupspan/src/gateway/quotas/home_state.rs
+++ b/kingcupspan/src/gateway/quotas/home_state.rs
@@ -42,7 +42,10 @@
 
 /// State of a workspace at its home.
 pub struct HomeState {
+    /// The workspace.
     pub workspace: WorkspaceName,
+
+    /// Tokens of this failure domain.
     pub home: Mutex<Home>,
 
     /// When this daemon last claimed the workspace.
