--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -6,18 +6,19 @@
 //! is appended twice counts once, and every daemon that appends one reads all records before it.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use async_std::task;
+use async_std::{future, task};
 use kingcupspan_core::gateway::{
     allocation::{AllocationId, DaemonAllocations, Settlement},
     allocation_homes::{self, FOLLOWERS},
     call::ProgramKey,
     incarnation::Incarnation,
 };
+use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use serde::{Deserialize, Serialize};
 
@@ -41,8 +42,15 @@
 /// Timeout of a request to a home while the store is slow.
 const SLOW_STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Timeout for connecting to a home.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeouts after which a home counts as unresponsive for every purpose.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(150),
+    head: Duration::from_millis(1_500),
+    body: Duration::from_millis(1_500),
+};
+
+/// Time for which a home is not asked that did not respond in time.
+const PASSED_OVER_FOR: Duration = Duration::from_millis(5_000);
 
 /// Pause between two reads of a partition by a daemon that may become its home.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -91,6 +99,9 @@
     /// Appends a second that the store takes from all daemons together.
     appends_per_s: Option<f64>,
 
+    /// VMs of homes that did not respond in time, and when they were asked.
+    late: Mutex<HashMap<String, Instant>>,
+
     /// Requests to homes, by outcome.
     pub requests: IntCounterVec,
 }
@@ -109,6 +120,7 @@
             partitions,
             peers,
             appends_per_s,
+            late: Mutex::default(),
             // The name and the label are constant and valid.
             requests: requests.expect("the counter is valid"),
         }
@@ -126,9 +138,12 @@
             return Vec::new();
         }
         let number = self.partitions.partition_of_program(program).number;
-        let ranked = self.peers.ranked(&key(number), HOMES_ASKED).into_iter();
+        let ranked = self.peers.ranked(&key(number), FOLLOWERS).into_iter();
         let is_other = |home: &Peer| home.vm != self.peers.local.vm;
-        ranked.take_while(is_other).collect()
+        let others = ranked
+            .take_while(is_other)
+            .filter(|home| !self.is_late(home));
+        others.take(HOMES_ASKED).collect()
     }
 
     /// Allocates tokens; returns whether a home knows that all allocations of the program are within
@@ -211,7 +226,7 @@
             }
         }
         // After a wait for homes it may be held back no longer.
-        let urgency = match asked_at.elapsed() < CONNECT_TIMEOUT {
+        let urgency = match asked_at.elapsed() < TIMEOUTS.connect {
             true => urgency,
             false => Urgency::Now,
         };
@@ -252,21 +267,31 @@
             true => SLOW_STORE_TIMEOUT,
             false => HOME_TIMEOUT,
         };
-        let timeouts = Timeouts {
-            connect: CONNECT_TIMEOUT,
-            head: timeout,
-            body: timeout,
-        };
-        let response = self.peers.send_with(home, request, timeouts).await;
+        let (peers, peer, request) = (Arc::clone(&self.peers), home.clone(), request.clone());
+        // The request goes on after the timeout: a home that is only slow, like the store that it waits
+        // for, does not count as unresponsive and keeps its other roles.
+        let exchange = task::spawn(async move { peers.send_with(&peer, &request, TIMEOUTS).await });
+        let response = future::timeout(timeout, exchange).await;
         let outcome = match &response {
-            Ok(PeerResponse::Allocated(AllocationOutcome::Unavailable))
-            | Ok(PeerResponse::Settled(false))
-            | Ok(PeerResponse::ProgramAllocations(None)) => "store unavailable",
-            Ok(_) => "done",
-            Err(_) => "no response",
+            Ok(Ok(PeerResponse::Allocated(AllocationOutcome::Unavailable)))
+            | Ok(Ok(PeerResponse::Settled(false)))
+            | Ok(Ok(PeerResponse::ProgramAllocations(None))) => "store unavailable",
+            Ok(Ok(_)) => "done",
+            Ok(Err(_)) => "no response",
+            Err(_) => "late",
         };
         self.requests.with_label_values(&[outcome]).inc();
-        response.ok()
+        if response.is_err() {
+            self.late.lock().insert(home.vm.clone(), Instant::now());
+        }
+        response.ok()?.ok()
+    }
+
+    /// Whether a home did not respond in time lately.
+    fn is_late(&self, home: &Peer) -> bool {
+        let late = self.late.lock();
+        late.get(&home.vm)
+            .is_some_and(|at| at.elapsed() < PASSED_OVER_FOR)
     }
 
     /// Keeps up with the records of the partitions whose home this daemon is or may become, until the
