--- a/kingcupspan_core/src/gateway/quota/mod.rs
+++ b/kingcupspan_core/src/gateway/quota/mod.rs
@@ -14,18 +14,18 @@
 mod bucket;
 mod home;
 mod lending;
+mod max_wait;
 mod meter;
 mod moment;
-mod patience;
 
 pub use self::{
     allowance::{Allowance, Grant, Token},
     bucket::{Bucket, Refusal},
     home::{Granted, Home},
     lending::{Lenders, Loans},
+    max_wait::max_wait,
     meter::Meter,
     moment::Moment,
-    patience::max_wait,
 };
 use super::workspace::Quota;
 
