--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -41,9 +41,18 @@
     /// Status, signature, completeness and the body of an error.
     pub fn summary(&self) -> String {
         let signed = if self.is_signed { "signed" } else { "unsigned" };
-        let complete = if self.is_complete { "whole" } else { "broken off" };
-        let text = String::from_utf8_lossy(&self.body[..self.body.len().min(60)]).trim().replace('\n', " ");
-        format!("{} {signed} {complete} after {} ms: {text}", self.status, self.ms)
+        let complete = if self.is_complete {
+            "whole"
+        } else {
+            "broken off"
+        };
+        let text = String::from_utf8_lossy(&self.body[..self.body.len().min(60)])
+            .trim()
+            .replace('\n', " ");
+        format!(
+            "{} {signed} {complete} after {} ms: {text}",
+            self.status, self.ms
+        )
     }
 }
 
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -7,8 +7,8 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -17,7 +17,7 @@
 use crate::{
     client::{self, Request},
     processes::{self, signal},
-    record::{unix_ms, Record},
+    record::{Record, unix_ms},
     runner::Options,
     store::Store,
 };
@@ -194,7 +194,9 @@
                     if runner.child.is_some() && (is_due || has_restarted) {
                         runner.beat(&store, &mut sequence);
                     }
-                    if runner.is_listed && runner.ended_at.is_some_and(|at| at.elapsed() > SILENCE_MAX) {
+                    if runner.is_listed
+                        && runner.ended_at.is_some_and(|at| at.elapsed() > SILENCE_MAX)
+                    {
                         store.put("keyed.servers", &runner.options.id, "");
                         runner.is_listed = false;
                     }
@@ -205,7 +207,8 @@
 
     /// Kills a runner, which is started again if it is to be.
     pub fn kill_runner(&self, id: &str) {
-        self.record.line(&format!("runner {id} is killed (SIGKILL)"));
+        self.record
+            .line(&format!("runner {id} is killed (SIGKILL)"));
         let mut runners = self.runners.lock().unwrap();
         let child = runners.get_mut(id).and_then(|r| r.child.as_mut());
         let _ = child.expect("the runner runs").kill();
@@ -233,7 +236,9 @@
 
     /// Whether a request has run.
     pub fn has_run(&self, id: &str) -> bool {
-        self.runs().iter().any(|(_, words)| words[1] == "runs" && words[4] == id)
+        self.runs()
+            .iter()
+            .any(|(_, words)| words[1] == "runs" && words[4] == id)
     }
 
     /// Starts `count` gateways and waits until they are ready.
@@ -246,7 +251,8 @@
             let zone = ZONES[i % ZONES.len()];
             let name = format!("edge-{zone}-{}", i / ZONES.len() + 1);
             let settings = self.dir.join(format!("{name}.json"));
-            fs::write(&settings, self.settings(&name, zone, *ip, &ports)).expect("settings can be written");
+            fs::write(&settings, self.settings(&name, zone, *ip, &ports))
+                .expect("settings can be written");
             self.gateways.push(Gateway {
                 log: self.dir.join(format!("{name}.log")),
                 name,
@@ -266,7 +272,10 @@
 
     /// Settings as the pages show them, with the addresses of this deployment.
     fn settings(&self, name: &str, zone: &str, ip: IpAddr, ports: &[u16]) -> String {
-        let zones: Vec<String> = ZONES.iter().map(|z| format!("\"{z}\":\"deep-south\"")).collect();
+        let zones: Vec<String> = ZONES
+            .iter()
+            .map(|z| format!("\"{z}\":\"deep-south\""))
+            .collect();
         format!(
             "{{\"node_name\":\"{name}\",\"role\":\"gateway\",\"machine_class\":\"edge\",\"serves\":[\"edge\"],\"ip\":\"{ip}\",\
              \"zone\":\"{zone}\",\"region\":\"deep-south\",\"zones\":{{{}}},\
@@ -282,14 +291,22 @@
              \"platform\":{{\"address\":\"{}\",\"form\":\"log\",\"writes_per_s\":800,\"reads_per_s\":2000,\"parts\":8,\
              \"append_ms\":4.0,\"part_mb_s\":20.0,\"read_mb_s\":80.0,\"record_bytes\":262144,\"call_bytes\":2097152,\
              \"retention_s\":300,\"part_mb\":200,\"ttl_min_ms\":1000}}}}",
-            zones.join(","), ports[0], ports[1], ports[2], ports[3], self.store_addr
+            zones.join(","),
+            ports[0],
+            ports[1],
+            ports[2],
+            ports[3],
+            self.store_addr
         )
     }
 
     /// Starts a gateway with the command of the deploy file.
     pub fn start_gateway(&mut self, i: usize) {
         let gateway = &mut self.gateways[i];
-        let log = fs::OpenOptions::new().create(true).append(true).open(&gateway.log);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&gateway.log);
         let log = log.expect("the log can be written");
         let child = Command::new("target/release/kingcupspan")
             .arg("gateway")
@@ -312,7 +329,12 @@
     /// Waits until the readiness probe of a gateway succeeds.
     pub fn wait_until_ready(&self, i: usize) {
         let gateway = &self.gateways[i];
-        let probe = Request { method: "GET", path: "/api/readyz".into(), deadline_ms: 500, ..Request::default() };
+        let probe = Request {
+            method: "GET",
+            path: "/api/readyz".into(),
+            deadline_ms: 500,
+            ..Request::default()
+        };
         for _ in 0..200 {
             if client::send(gateway.readiness, &probe).status == 200 {
                 self.record.line(&format!("{} is ready", gateway.name));
@@ -320,13 +342,15 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
-        self.record.line(&format!("{} did not become ready", gateway.name));
+        self.record
+            .line(&format!("{} did not become ready", gateway.name));
         self.could_not_run();
     }
 
     /// Kills a gateway.
     pub fn kill_gateway(&mut self, i: usize) {
-        self.record.line(&format!("{} is killed (SIGKILL)", self.gateways[i].name));
+        self.record
+            .line(&format!("{} is killed (SIGKILL)", self.gateways[i].name));
         if let Some(mut child) = self.gateways[i].child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -336,7 +360,8 @@
 
     /// Sends SIGTERM to a gateway and waits until it has ended, for the grace time at most.
     pub fn stop_gateway(&mut self, i: usize) {
-        self.record.line(&format!("{} gets SIGTERM", self.gateways[i].name));
+        self.record
+            .line(&format!("{} gets SIGTERM", self.gateways[i].name));
         signal(self.pid(i), "TERM");
         let started = Instant::now();
         if let Some(mut child) = self.gateways[i].child.take() {
@@ -348,22 +373,39 @@
             }
             processes::forget(child.id());
         }
-        self.record.line(&format!("{} has ended", self.gateways[i].name));
+        self.record
+            .line(&format!("{} has ended", self.gateways[i].name));
     }
 
     /// Largest resident memory of a gateway so far, in MB.
     pub fn peak_memory_mb(&self, i: usize) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid(i))).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap_or_default();
-        let kb: u64 = line.split_whitespace().nth(1).and_then(|w| w.parse().ok()).unwrap_or(0);
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.pid(i))).unwrap_or_default();
+        let line = status
+            .lines()
+            .find(|l| l.starts_with("VmHWM:"))
+            .unwrap_or_default();
+        let kb: u64 = line
+            .split_whitespace()
+            .nth(1)
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
         kb / 1_024
     }
 
     /// Memory of a gateway that no file backs, in MB.
     pub fn anonymous_memory_mb(&self, i: usize) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid(i))).unwrap_or_default();
-        let line = status.lines().find(|l| l.starts_with("RssAnon:")).unwrap_or_default();
-        let kb: u64 = line.split_whitespace().nth(1).and_then(|w| w.parse().ok()).unwrap_or(0);
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.pid(i))).unwrap_or_default();
+        let line = status
+            .lines()
+            .find(|l| l.starts_with("RssAnon:"))
+            .unwrap_or_default();
+        let kb: u64 = line
+            .split_whitespace()
+            .nth(1)
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
         kb / 1_024
     }
 
@@ -455,7 +497,9 @@
     /// Writes the entry in the store.
     fn beat(&mut self, store: &Store, sequence: &mut u64) {
         *sequence += 1;
-        let Options { id, addr, slots, .. } = &self.options;
+        let Options {
+            id, addr, slots, ..
+        } = &self.options;
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{addr}\",\"zone\":\"{}\",\"resource_version\":\"v1\",\"slots\":{slots},\
              \"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
--- a/review/standins-2/src/foreign_entry.rs
+++ b/review/standins-2/src/foreign_entry.rs
@@ -50,10 +50,15 @@
     }
     let runs = d.runs().into_iter();
     let foreign: Vec<_> = runs
-        .filter(|(_, w)| w[1] == "runs" && w[3].starts_with("/charge/") && ENGINES.contains(&w[2].as_str()))
+        .filter(|(_, w)| {
+            w[1] == "runs" && w[3].starts_with("/charge/") && ENGINES.contains(&w[2].as_str())
+        })
         .collect();
     for (at, words) in &foreign {
-        record.line(&format!("at {at:.3} charge {} was run by {} of feather-llm", words[4], words[2]));
+        record.line(&format!(
+            "at {at:.3} charge {} was run by {} of feather-llm",
+            words[4], words[2]
+        ));
     }
     let text = format!(
         "ROUTE: {} of {} charges were run by a runner of feather-llm; no configuration allows /charge/ to go there",
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -15,7 +15,10 @@
 impl Head {
     /// Value of a header, whose name is matched without regard to case.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
 
@@ -47,7 +50,8 @@
             return Ok(Some(head));
         }
         let (name, value) = text.split_once(':').ok_or_else(eof)?;
-        head.headers.push((name.to_owned(), value.trim().to_owned()));
+        head.headers
+            .push((name.to_owned(), value.trim().to_owned()));
     }
 }
 
--- a/review/standins-2/src/long_program.rs
+++ b/review/standins-2/src/long_program.rs
@@ -69,9 +69,15 @@
             if answer.status == 200 && answer.is_complete {
                 break;
             }
-            record.line(&format!("turn {number} is sent again: {}", answer.summary()));
+            record.line(&format!(
+                "turn {number} is sent again: {}",
+                answer.summary()
+            ));
             thread::sleep(Duration::from_millis(300));
-            let again = Request { id: d.id(), ..request.clone() };
+            let again = Request {
+                id: d.id(),
+                ..request.clone()
+            };
             id = again.id.clone();
             answer = client::send(d.gateways[0].front, &again);
         }
@@ -94,11 +100,20 @@
     let mut lost = 0;
     let (mut first_sent, mut first_run) = (0, 0);
     for number in 1..=TRIES {
-        let first = turn(&d, &format!("new-{number}"), None, b"another program begins\n");
+        let first = turn(
+            &d,
+            &format!("new-{number}"),
+            None,
+            b"another program begins\n",
+        );
         let answer = client::send(d.gateways[0].front, &first);
         first_sent += 1;
         first_run += usize::from(d.has_run(&first.id));
-        record.line(&format!("first turn {} of a new program: {}", first.id, answer.summary()));
+        record.line(&format!(
+            "first turn {} of a new program: {}",
+            first.id,
+            answer.summary()
+        ));
         let next = turn(&d, "long-program", last.as_deref(), b"and then\n");
         let answer = client::send(d.gateways[0].front, &next);
         let has_run = d.has_run(&next.id);
@@ -130,16 +145,18 @@
     let (next, done) = (AtomicUsize::new(0), AtomicUsize::new(0));
     thread::scope(|scope| {
         for _ in 0..OTHER_CLIENTS {
-            scope.spawn(|| loop {
-                let number = next.fetch_add(1, Ordering::Relaxed);
-                if number >= OTHER_TURNS {
-                    return;
-                }
-                let input = vec![b'A' + (number % 26) as u8; OTHER_INPUT_BYTES];
-                let request = turn(d, &format!("other-{number}"), None, &input);
-                let answer = client::send(d.gateways[1].front, &request);
-                if answer.status == 200 && answer.is_complete {
-                    done.fetch_add(1, Ordering::Relaxed);
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    if number >= OTHER_TURNS {
+                        return;
+                    }
+                    let input = vec![b'A' + (number % 26) as u8; OTHER_INPUT_BYTES];
+                    let request = turn(d, &format!("other-{number}"), None, &input);
+                    let answer = client::send(d.gateways[1].front, &request);
+                    if answer.status == 200 && answer.is_complete {
+                        done.fetch_add(1, Ordering::Relaxed);
+                    }
                 }
             });
         }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,15 +6,15 @@
 
 mod client;
 mod deployment;
-mod http;
 mod foreign_entry;
+mod http;
 mod long_program;
 mod poison;
 mod processes;
-mod same_input;
 mod record;
 mod restart;
 mod runner;
+mod same_input;
 mod store;
 
 use std::{env, process, sync::Arc};
@@ -34,7 +34,14 @@
     processes::guard();
     let record = Arc::new(Record::create(&deployment::record_path(folder)));
     let has_trouble = env::var("TROUBLE").map_or(true, |v| v != "0");
-    record.line(&format!("case {case}, {}", if has_trouble { "with the disruption" } else { "without the disruption" }));
+    record.line(&format!(
+        "case {case}, {}",
+        if has_trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        }
+    ));
     let deployment = Deployment::new(record);
     match case {
         "long-program" => long_program::play(deployment, has_trouble),
--- a/review/standins-2/src/poison.rs
+++ b/review/standins-2/src/poison.rs
@@ -3,8 +3,8 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -16,7 +16,14 @@
     long_program::turn,
 };
 
-const ENGINES: [&str; 6] = ["i-7f3a91c2", "i-02d9e6b4", "i-55c0d1e8", "i-0b6e72fa", "i-91ad3c40", "i-c8d25e17"];
+const ENGINES: [&str; 6] = [
+    "i-7f3a91c2",
+    "i-02d9e6b4",
+    "i-55c0d1e8",
+    "i-0b6e72fa",
+    "i-91ad3c40",
+    "i-c8d25e17",
+];
 
 /// Time after which a crashed engine is back.
 const DOWN: Duration = Duration::from_secs(2);
@@ -26,14 +33,19 @@
 /// The request, which has the same path, caller and body each time.
 fn poison(d: &Deployment) -> Request {
     let request = turn(d, "program-with-a-fault", None, b"the same body\n");
-    Request { path: "/guide/poison".into(), ..request }
+    Request {
+        path: "/guide/poison".into(),
+        ..request
+    }
 }
 
 /// Crashes so far: time, request.
 fn crashes(d: &Deployment) -> Vec<(f64, String)> {
     let is_crash = |words: &[String]| words[1] == "runs" && words[3].ends_with("/poison");
     let runs = d.runs().into_iter();
-    runs.filter(|(_, w)| is_crash(w)).map(|(at, w)| (at, w[4].clone())).collect()
+    runs.filter(|(_, w)| is_crash(w))
+        .map(|(at, w)| (at, w[4].clone()))
+        .collect()
 }
 
 fn send_poison(d: &Deployment, gateway: usize) {
@@ -45,7 +57,11 @@
         request.id,
         d.gateways[gateway].name,
         answer.summary(),
-        if has_run { "has reached an engine" } else { "has reached no engine" }
+        if has_run {
+            "has reached an engine"
+        } else {
+            "has reached no engine"
+        }
     ));
     thread::sleep(Duration::from_millis(1_000));
 }
@@ -59,8 +75,21 @@
     thread::sleep(Duration::from_secs(4));
     let record = Arc::clone(&d.record);
     let fronts: Vec<_> = d.gateways.iter().map(|g| g.front).collect();
-    let (is_over, cut, sent) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
-    let others: Vec<Request> = (0..400).map(|n| turn(&d, &format!("program-{n}"), None, format!("question {n}\n").as_bytes())).collect();
+    let (is_over, cut, sent) = (
+        AtomicBool::new(false),
+        AtomicUsize::new(0),
+        AtomicUsize::new(0),
+    );
+    let others: Vec<Request> = (0..400)
+        .map(|n| {
+            turn(
+                &d,
+                &format!("program-{n}"),
+                None,
+                format!("question {n}\n").as_bytes(),
+            )
+        })
+        .collect();
     thread::scope(|scope| {
         for worker in 0..6 {
             let (others, fronts) = (&others, &fronts);
@@ -104,7 +133,10 @@
     let Some((third, _)) = crashes.get(2) else {
         d.end(None, "the request did not crash three engines");
     };
-    let late = crashes.iter().filter(|(at, _)| *at > third + STABLE_WINDOW_S).count();
+    let late = crashes
+        .iter()
+        .filter(|(at, _)| *at > third + STABLE_WINDOW_S)
+        .count();
     let text = format!(
         "BUDGET: {} attempts reached an engine later than stable_window_ms (3 s) after the third crash, sent by machines in \
          touch; {} of {} other turns, which had begun to run, were cut",
--- a/review/standins-2/src/processes.rs
+++ b/review/standins-2/src/processes.rs
@@ -14,17 +14,26 @@
 
 /// Remembers a process.
 pub fn note(child: &Child) {
-    STARTED.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+    STARTED
+        .lock()
+        .unwrap_or_else(|e| e.into_inner())
+        .push(child.id());
 }
 
 /// Forgets a process that has ended.
 pub fn forget(pid: u32) {
-    STARTED.lock().unwrap_or_else(|e| e.into_inner()).retain(|p| *p != pid);
+    STARTED
+        .lock()
+        .unwrap_or_else(|e| e.into_inner())
+        .retain(|p| *p != pid);
 }
 
 /// Sends a signal to a process of this run.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+    let _ = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status();
 }
 
 /// Ends all processes and this one, without a result.
--- a/review/standins-2/src/restart.rs
+++ b/review/standins-2/src/restart.rs
@@ -6,8 +6,8 @@
 use std::{
     collections::BTreeSet,
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -81,11 +81,16 @@
             scope.spawn(move || {
                 let program = format!("{:0ID_LEN$x}", 0xa0_0000 + n);
                 for number in 0..TURNS {
-                    let request = turn(d, &program, None, format!("question {number}\n").as_bytes());
-                    let request = Request { path: "/guide/4b".into(), ..request };
+                    let request =
+                        turn(d, &program, None, format!("question {number}\n").as_bytes());
+                    let request = Request {
+                        path: "/guide/4b".into(),
+                        ..request
+                    };
                     let answer = client::send(d.gateways[n % 2].front, &request);
                     if answer.status != 200 {
-                        d.record.line(&format!("turn {number} of {program}: {}", answer.summary()));
+                        d.record
+                            .line(&format!("turn {number} of {program}: {}", answer.summary()));
                     }
                 }
             });
@@ -114,7 +119,10 @@
             let mut value = value.clone();
             let at = position(&value, &old).expect("the id is in the record");
             value[at..at + ID_LEN].copy_from_slice(&new);
-            let key = format!("{:032x}", u128::from(records).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835));
+            let key = format!(
+                "{:032x}",
+                u128::from(records).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835)
+            );
             bytes += key.len() + value.len() + 1;
             d.store.put_in(TOPIC, part, &key, &value);
             records += 1;
@@ -136,7 +144,16 @@
     let fronts: Vec<_> = d.gateways.iter().map(|g| g.front).collect();
     let is_over = Arc::new(AtomicBool::new(false));
     let (record, over) = (Arc::clone(&d.record), Arc::clone(&is_over));
-    let requests: Vec<Request> = (0..400).map(|n| turn(d, &format!("{:0ID_LEN$x}", 0xb0_0000 + n), None, b"question\n")).collect();
+    let requests: Vec<Request> = (0..400)
+        .map(|n| {
+            turn(
+                d,
+                &format!("{:0ID_LEN$x}", 0xb0_0000 + n),
+                None,
+                b"question\n",
+            )
+        })
+        .collect();
     let clients = thread::spawn(move || {
         let mut statuses = std::collections::BTreeMap::new();
         for (n, request) in requests.iter().enumerate() {
@@ -150,7 +167,9 @@
             }
             thread::sleep(Duration::from_millis(200));
         }
-        record.line(&format!("statuses of first turns meanwhile, 0 for no answer: {statuses:?}"));
+        record.line(&format!(
+            "statuses of first turns meanwhile, 0 for no answer: {statuses:?}"
+        ));
     });
     let mut kills = vec![0; 2];
     let mut peaks = [0; 2];
@@ -161,7 +180,10 @@
             let memory = d.anonymous_memory_mb(i);
             peaks[i] = peaks[i].max(memory);
             if memory > MEMORY_MB {
-                d.record.line(&format!("{} has {memory} MB of memory, over its limit", d.gateways[i].name));
+                d.record.line(&format!(
+                    "{} has {memory} MB of memory, over its limit",
+                    d.gateways[i].name
+                ));
                 d.kill_gateway(i);
                 kills[i] += 1;
                 d.start_gateway(i);
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -9,8 +9,8 @@
     net::{TcpListener, TcpStream},
     process,
     sync::{
-        atomic::{AtomicU32, Ordering},
         Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
     },
     thread,
     time::Duration,
@@ -36,9 +36,23 @@
 
 impl Options {
     pub fn to_args(&self) -> Vec<String> {
-        let Self { id, addr, log, slots, events, pause_ms } = self;
-        [id.clone(), addr.clone(), log.clone(), slots.to_string(), events.to_string(), pause_ms.to_string()]
-            .to_vec()
+        let Self {
+            id,
+            addr,
+            log,
+            slots,
+            events,
+            pause_ms,
+        } = self;
+        [
+            id.clone(),
+            addr.clone(),
+            log.clone(),
+            slots.to_string(),
+            events.to_string(),
+            pause_ms.to_string(),
+        ]
+        .to_vec()
     }
 
     pub fn from_args(args: &[String]) -> Self {
@@ -62,7 +76,10 @@
 
 /// Serves until the process is killed.
 pub fn run(options: Options) -> ! {
-    let log = OpenOptions::new().create(true).append(true).open(&options.log);
+    let log = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&options.log);
     let listener = TcpListener::bind(&options.addr).expect("the runner's address is free");
     let runner = Arc::new(Runner {
         options,
@@ -95,7 +112,13 @@
 
     fn note(&self, what: &str, head: &Head, body: &[u8]) {
         let id = head.get("kingcupspan-request-id").unwrap_or("-");
-        let line = format!("{} {what} {} {} {id} {}\n", unix_ms(), self.options.id, head.word(1), body.len());
+        let line = format!(
+            "{} {what} {} {} {id} {}\n",
+            unix_ms(),
+            self.options.id,
+            head.word(1),
+            body.len()
+        );
         let _ = self.log.lock().unwrap().write_all(line.as_bytes());
     }
 
@@ -124,9 +147,17 @@
         running: u32,
         output: &mut TcpStream,
     ) -> Option<()> {
-        let Options { slots, events, pause_ms, .. } = self.options;
+        let Options {
+            slots,
+            events,
+            pause_ms,
+            ..
+        } = self.options;
         if running >= 2 * slots {
-            let headers = [("Kingcupspan-Request-Id", id), ("Kingcupspan-Not-Executed", "1")];
+            let headers = [
+                ("Kingcupspan-Request-Id", id),
+                ("Kingcupspan-Not-Executed", "1"),
+            ];
             return http::write_message(output, "HTTP/1.1 503 Full", &headers, b"").ok();
         }
         self.note("runs", head, body);
--- a/review/standins-2/src/same_input.rs
+++ b/review/standins-2/src/same_input.rs
@@ -15,7 +15,14 @@
 
 /// As many engines as the site has.
 const ENGINES: [&str; 8] = [
-    "i-7f3a91c2", "i-02d9e6b4", "i-55c0d1e8", "i-0b6e72fa", "i-91ad3c40", "i-c8d25e17", "i-e2b94f06", "i-3d70a8bb",
+    "i-7f3a91c2",
+    "i-02d9e6b4",
+    "i-55c0d1e8",
+    "i-0b6e72fa",
+    "i-91ad3c40",
+    "i-c8d25e17",
+    "i-e2b94f06",
+    "i-3d70a8bb",
 ];
 
 /// Programs whose second turns are in flight at the crash, and programs that send theirs later.
@@ -39,10 +46,19 @@
     d.start_gateways(2);
     thread::sleep(Duration::from_secs(4));
     let record = Arc::clone(&d.record);
-    let programs: Vec<String> = (1..=BEFORE + LATER).map(|n| format!("program-{n}")).collect();
+    let programs: Vec<String> = (1..=BEFORE + LATER)
+        .map(|n| format!("program-{n}"))
+        .collect();
     let first: Vec<Request> = programs
         .iter()
-        .map(|p| turn(&d, p, None, format!("{p} asks for an estimate\n").as_bytes()))
+        .map(|p| {
+            turn(
+                &d,
+                p,
+                None,
+                format!("{p} asks for an estimate\n").as_bytes(),
+            )
+        })
         .collect();
     let answers = send_together(&d, &first);
     for (request, answer) in first.iter().zip(&answers) {
@@ -52,13 +68,17 @@
         d.end(None, "a first turn was not answered");
     }
     let answered_at = Instant::now();
-    let second: Vec<Request> = (0..BEFORE).map(|i| turn(&d, &programs[i], Some(&first[i].id), INPUT)).collect();
+    let second: Vec<Request> = (0..BEFORE)
+        .map(|i| turn(&d, &programs[i], Some(&first[i].id), INPUT))
+        .collect();
     let killer = d.record.clone();
     let answers = thread::scope(|scope| {
         let sending = scope.spawn(|| send_together(&d, &second));
         thread::sleep(Duration::from_millis(400));
         if let Some((engine, running)) = busiest(&d, &second) {
-            killer.line(&format!("engine {engine} runs {running} of the {BEFORE} second turns"));
+            killer.line(&format!(
+                "engine {engine} runs {running} of the {BEFORE} second turns"
+            ));
             if has_trouble && running >= MIN_RUNNING {
                 d.kill_runner(&engine);
             }
@@ -80,7 +100,12 @@
         let mut unserved = 0;
         for attempt in 0..TRIES {
             let front = d.gateways[(i + attempt) % 2].front;
-            let new = turn(&d, &d.id(), None, format!("question {i}.{attempt}\n").as_bytes());
+            let new = turn(
+                &d,
+                &d.id(),
+                None,
+                format!("question {i}.{attempt}\n").as_bytes(),
+            );
             let next = turn(&d, &programs[i], Some(&first[i].id), INPUT);
             let answers = send_pair(front, &new, &next);
             first_sent += 1;
@@ -122,7 +147,10 @@
                 scope.spawn(move || client::send(front, r))
             })
             .collect();
-        clients.into_iter().map(|c| c.join().expect("a client ends")).collect()
+        clients
+            .into_iter()
+            .map(|c| c.join().expect("a client ends"))
+            .collect()
     })
 }
 
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -40,7 +40,9 @@
                 let (key, value) = rest.split_at(len as usize);
                 match value.is_empty() {
                     true => self.newest.remove(key),
-                    false => self.newest.insert(key.to_vec(), (offset, Arc::clone(&record))),
+                    false => self
+                        .newest
+                        .insert(key.to_vec(), (offset, Arc::clone(&record))),
                 };
             }
         }
@@ -114,7 +116,9 @@
     /// Number of records and bytes in the topics whose name begins with `prefix`.
     pub fn volume(&self, prefix: &str) -> (usize, usize) {
         let slots = self.slots.lock().unwrap();
-        let matching = slots.iter().filter(|((topic, _), _)| topic.starts_with(prefix));
+        let matching = slots
+            .iter()
+            .filter(|((topic, _), _)| topic.starts_with(prefix));
         matching.fold((0, 0), |(count, bytes), (_, slot)| {
             let part = slot.part.lock().unwrap();
             let of_part: usize = part.records.iter().map(|r| r.len()).sum();
@@ -135,7 +139,8 @@
             let (status, kind, answer) = self.call(&head, &body);
             thread::sleep(Duration::from_millis(ANSWER_MS));
             let start = format!("HTTP/1.1 {status} X");
-            if http::write_message(&mut output, &start, &[("Content-Type", kind)], &answer).is_err() {
+            if http::write_message(&mut output, &start, &[("Content-Type", kind)], &answer).is_err()
+            {
                 return;
             }
         }
@@ -144,7 +149,8 @@
     fn call(&self, head: &Head, body: &[u8]) -> (u16, &'static str, Vec<u8>) {
         const JSON: &str = "application/json";
         let (path, query) = head.word(1).split_once('?').unwrap_or_default();
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let text = |name: &str| query.get(name).copied().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
         let slot = self.slot(text("topic"), number("part") as u32);
@@ -162,7 +168,11 @@
                     rest = &rest[4 + len..];
                 }
                 let end = part.records.len();
-                (200, JSON, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
+                (
+                    200,
+                    JSON,
+                    format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+                )
             }
             ("GET", "/api/log-read") => {
                 let max = match number("max_kib") {
@@ -212,7 +222,9 @@
         }
         let value = base64(&record[1 + key.len()..]);
         let key = String::from_utf8_lossy(key);
-        items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+        items.push(format!(
+            "{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
+        ));
     }
     let (items, end) = (items.join(","), part.records.len());
     format!("{{\"items\":[{items}],\"has_more\":{has_more},\"end\":{end}}}").into_bytes()
@@ -222,7 +234,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for group in bytes.chunks(3) {
-        let word = (0..3).fold(0_u32, |w, i| w << 8 | u32::from(*group.get(i).unwrap_or(&0)));
+        let word = (0..3).fold(0_u32, |w, i| {
+            w << 8 | u32::from(*group.get(i).unwrap_or(&0))
+        });
         for i in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * i) & 63) as usize] as char;
             out.push(if i <= group.len() { digit } else { '=' });
