Log the software version of endpoints and the stream that a request continues

Cause: the four hypotheses on joined streams cannot be told apart by what is logged; the version was dropped by the decoder of registry entries, and the header that names a continued stream was not looked at. Nothing is placed differently.

--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 use kingcupspan_core::gateway::{
     call::{CallInfo, RequestId},
     crash_tracker::Fingerprint,
-    endpoint::InstanceId,
+    endpoint::Endpoint,
     history::{self, Turn},
     quota::Token,
     routing::{Configuration, Route, ServiceName},
@@ -77,7 +77,7 @@
     pub progress: Progress,
 
     /// The endpoint that the request was last sent to.
-    pub last_endpoint: Option<InstanceId>,
+    pub last_endpoint: Option<Arc<Endpoint>>,
 
     /// Connections on which endpoints have refused the request.
     pub refused_on: Vec<ConnectionId>,
--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -11,7 +11,12 @@
     task,
 };
 use futures_lite::{FutureExt, StreamExt};
-use kingcupspan_core::gateway::{byte_budget::Stage, call::RequestId, routing::Limits};
+use kingcupspan_core::gateway::{
+    byte_budget::Stage,
+    call::{ContinuedStream, RequestId},
+    endpoint::Endpoint,
+    routing::Limits,
+};
 use kingcupspan_platform::headers;
 
 use crate::{
@@ -209,24 +214,17 @@
     let wants_close = head.wants_close();
     let info = headers::call_info(&head.headers);
     let id = info.id.clone();
-    let (outcome, route_and_endpoint, should_close) =
-        match gateway.admit(head, info, body, received_at) {
-            Ok(mut ex) => {
-                let outcome = gateway.serve(&mut ex, conn).await;
-                record_refusal(gateway, &ex, &outcome);
-                let endpoint = ex.last_endpoint.as_ref().map(ToString::to_string);
-                let route_and_endpoint = (ex.route.name.clone(), endpoint.unwrap_or_default());
-                (outcome, route_and_endpoint, ex.should_close_connection())
-            }
-            Err(response) => (Outcome::Failed(response), Default::default(), wants_close),
-        };
-    record_outcome(
-        gateway,
-        id.as_ref(),
-        &outcome,
-        &route_and_endpoint,
-        received_at,
-    );
+    let mut served = Served::default();
+    let (outcome, should_close) = match gateway.admit(head, info, body, received_at) {
+        Ok(mut ex) => {
+            let outcome = gateway.serve(&mut ex, conn).await;
+            record_refusal(gateway, &ex, &outcome);
+            served = Served::from(&ex);
+            (outcome, ex.should_close_connection())
+        }
+        Err(response) => (Outcome::Failed(response), wants_close),
+    };
+    record_outcome(gateway, id.as_ref(), &outcome, &served, received_at);
     let should_close = should_close || gateway.connection_policy().should_close_connections();
     match outcome {
         Outcome::Answered(_) if !should_close => AfterRequest::KeepOpen,
@@ -249,12 +247,34 @@
     }
 }
 
+/// How a request was served, for the log.
+#[derive(Default)]
+struct Served {
+    route: String,
+
+    /// The endpoint that the request was last sent to.
+    endpoint: Option<Arc<Endpoint>>,
+
+    /// Stream that the request continues, if it continues one.
+    continues: Option<ContinuedStream>,
+}
+
+impl From<&Exchange> for Served {
+    fn from(ex: &Exchange) -> Self {
+        Self {
+            route: ex.route.name.clone(),
+            endpoint: ex.last_endpoint.clone(),
+            continues: ex.info.continues.clone(),
+        }
+    }
+}
+
 /// Logs a finished request and records it in the metrics.
 fn record_outcome(
     gateway: &Gateway,
     id: Option<&RequestId>,
     outcome: &Outcome,
-    route_and_endpoint: &(String, String),
+    served: &Served,
     received_at: Instant,
 ) {
     let id = id.map_or("-", |id| &*id.0);
@@ -266,7 +286,17 @@
     };
     let duration = received_at.elapsed();
     gateway.metrics.record_request(status, &reason, duration);
-    let (route, endpoint) = (route_and_endpoint.0.as_str(), route_and_endpoint.1.as_str());
+    let route = served.route.as_str();
+    let endpoint = served.endpoint.as_ref().map_or("", |e| &*e.id.0);
+    let version = served.endpoint.as_ref().map_or("", |e| &*e.version.0);
     let ms = duration.as_millis() as u64;
-    log::info!(request = id, route, endpoint, status, reason = reason.as_str(), ms; "request finished");
+    match &served.continues {
+        None => {
+            log::info!(request = id, route, endpoint, version, status, reason = reason.as_str(), ms; "request finished");
+        }
+        Some(stream) => {
+            let continues = stream.to_string();
+            log::info!(request = id, continues = continues.as_str(), route, endpoint, version, status, reason = reason.as_str(), ms; "request finished");
+        }
+    }
 }
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to endpoints, one after another while that is safe.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use kingcupspan_core::gateway::endpoint::InstanceId;
 
@@ -39,7 +39,7 @@
                 _ => ErrorReason::NoOutcome.into(),
             })?;
             let token = self.spend_quota(ex, *possible_runs).await?;
-            ex.last_endpoint = Some(endpoint.id.clone());
+            ex.last_endpoint = Some(Arc::clone(&endpoint));
             // A call of a tool must not replace the engine of its program.
             if let Some(key) = ex.info.placement_key().filter(|_| ex.runs_on_engine()) {
                 self.last_engines.record(key, &endpoint.id);
@@ -124,7 +124,7 @@
                 *possible_runs += 1;
             }
             Ok(response) => {
-                ex.last_endpoint = Some(endpoint.id.clone());
+                ex.last_endpoint = Some(endpoint);
                 *possible_runs += 1;
                 return Some((response, guard));
             }
--- a/kingcupspan_core/src/gateway/call.rs
+++ b/kingcupspan_core/src/gateway/call.rs
@@ -50,6 +50,27 @@
     pub max_output: u64,
 }
 
+/// The stream that a request continues after the events that its caller has received.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum ContinuedStream {
+    /// The stream whose first event this attempt has brought.
+    BegunBy(RequestId),
+
+    /// A stream that the caller does not name.
+    #[display("unnamed")]
+    Unnamed,
+}
+
+impl ContinuedStream {
+    /// Returns the stream with an identifier that no other workspace has.
+    fn within(&self, workspace: &WorkspaceName) -> Self {
+        match self {
+            Self::BegunBy(id) => Self::BegunBy(id.within(Some(workspace))),
+            Self::Unnamed => Self::Unnamed,
+        }
+    }
+}
+
 /// Contents of the request headers that affect scheduling.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallInfo {
@@ -67,6 +88,9 @@
 
     /// Program of the request, if it belongs to one.
     pub program: Option<ProgramInfo>,
+
+    /// Stream that the request continues, if it continues one.
+    pub continues: Option<ContinuedStream>,
 }
 
 impl ProgramInfo {
@@ -96,9 +120,11 @@
             return self;
         };
         let affinity = self.affinity.as_deref();
+        let continues = self.continues.as_ref();
         Self {
             affinity: affinity.map(|key| workspace.qualify(key).as_ref().to_owned()),
             program: self.program.map(|p| p.within(workspace)),
+            continues: continues.map(|s| s.within(workspace)),
             ..self
         }
     }
--- a/kingcupspan_core/src/gateway/endpoint.rs
+++ b/kingcupspan_core/src/gateway/endpoint.rs
@@ -31,6 +31,15 @@
 #[from(forward)]
 pub struct InstanceId(pub Arc<str>);
 
+/// Version of the software that an endpoint runs.
+///
+/// Versions have no order; only whether two are the same matters.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
+)]
+#[from(forward)]
+pub struct SoftwareVersion(pub Arc<str>);
+
 /// Whether an endpoint accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -57,6 +66,9 @@
     /// Failure domain of the endpoint.
     pub domain: String,
 
+    /// Version of the software that the endpoint runs.
+    pub version: SoftwareVersion,
+
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
 
--- a/kingcupspan_core/tests/gateway/admission.rs
+++ b/kingcupspan_core/tests/gateway/admission.rs
@@ -14,6 +14,7 @@
         service: "s".into(),
         addr: "127.0.0.1:1".parse().unwrap(),
         domain: "d".into(),
+        version: "v1".into(),
         slots: 6,
         state: State::Ready,
         started_at_ms: 1,
--- a/kingcupspan_core/tests/gateway/directory.rs
+++ b/kingcupspan_core/tests/gateway/directory.rs
@@ -11,6 +11,7 @@
         service: "s".into(),
         addr: "127.0.0.1:1".parse().unwrap(),
         domain: "d".into(),
+        version: "v1".into(),
         slots: 4,
         state,
         started_at_ms: 1,
--- a/kingcupspan_core/tests/gateway/endpoint_health.rs
+++ b/kingcupspan_core/tests/gateway/endpoint_health.rs
@@ -38,6 +38,7 @@
             service: "s".into(),
             addr: "127.0.0.1:1".parse().unwrap(),
             domain: "x".to_owned(),
+            version: "v1".into(),
             slots: 4,
             state: State::Ready,
             started_at_ms: 1,
--- a/kingcupspan_core/tests/gateway/expected_finish.rs
+++ b/kingcupspan_core/tests/gateway/expected_finish.rs
@@ -19,6 +19,7 @@
         service: "s".into(),
         addr: "127.0.0.1:1".parse().unwrap(),
         domain: domain.to_owned(),
+        version: "v1".into(),
         slots: SLOTS,
         state: State::Ready,
         started_at_ms: 1,
--- a/kingcupspan_core/tests/gateway/placement.rs
+++ b/kingcupspan_core/tests/gateway/placement.rs
@@ -14,6 +14,7 @@
         service: "s".into(),
         addr: "127.0.0.1:1".parse().unwrap(),
         domain: domain.to_owned(),
+        version: "v1".into(),
         slots: 4,
         state: State::Ready,
         started_at_ms: 1,
