Continue a stream only at the software version that began it

What callers saw: a stream that had broken off went on with events of another software version, with status 200 and nothing in the answer to show it. Cause: nobody knew which version had begun a stream; a continued stream was placed like a new one. Change: the version is chosen before a stream of a resumable route is sent, and recorded by the call that allocates its tokens. Order of records: stream_origin.rs.

--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -15,8 +15,9 @@
 use kingcupspan_core::gateway::{
     allocation::{AllocationId, DaemonAllocations, Settlement},
     allocation_homes::{self, FOLLOWERS},
-    call::ProgramKey,
+    call::{ProgramKey, RequestId},
     incarnation::Incarnation,
+    stream_origin::{Knowledge, StreamRecord},
 };
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
@@ -75,6 +76,10 @@
 
     /// Number of tokens that all allocations of the program together may have.
     pub limit: u64,
+
+    /// Where the stream is begun for which the tokens are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream: Option<StreamRecord>,
 }
 
 /// Answer of a home to a request for an allocation.
@@ -153,17 +158,18 @@
             program,
             id,
             tokens,
+            stream,
             ..
         } = request;
         let message = PeerRequest::Allocate(request.clone());
         for home in self.homes(program) {
             match self.ask(&home, &message).await {
                 Some(PeerResponse::Allocated(AllocationOutcome::Within)) => {
-                    self.partitions.note_allocation(program, id, *tokens);
+                    self.note_recorded(request);
                     return Ok(true);
                 }
                 Some(PeerResponse::Allocated(AllocationOutcome::Exceeding(others))) => {
-                    self.partitions.note_allocation(program, id, *tokens);
+                    self.note_recorded(request);
                     self.partitions.merge_allocations(program, others);
                     return Ok(false);
                 }
@@ -173,9 +179,23 @@
                 _ => {}
             }
         }
-        self.allocate_here(program, id, *tokens)
-            .await
-            .map(|()| false)
+        let allocated = self.allocate_here(program, id, *tokens, stream.as_ref());
+        allocated.await.map(|()| false)
+    }
+
+    /// Counts with what a home has recorded for this daemon.
+    fn note_recorded(&self, request: &AllocationRequest) {
+        let AllocationRequest {
+            program,
+            id,
+            tokens,
+            stream,
+            ..
+        } = request;
+        self.partitions.note_allocation(program, id, *tokens);
+        if let Some(stream) = stream {
+            self.partitions.note_stream(id.clone(), stream.clone());
+        }
     }
 
     /// Allocates tokens by a call of this daemon.
@@ -184,8 +204,9 @@
         program: &ProgramKey,
         id: &AllocationId,
         tokens: u64,
+        stream: Option<&StreamRecord>,
     ) -> Result<(), StoreFailure> {
-        self.partitions.allocate(program, id, tokens).await
+        self.partitions.allocate(program, id, tokens, stream).await
     }
 
     /// Allocates tokens as home of their partition.
@@ -195,8 +216,10 @@
             id,
             tokens,
             limit,
+            stream,
         } = request;
-        if let Err(e) = self.allocate_here(program, id, *tokens).await {
+        let allocated = self.allocate_here(program, id, *tokens, stream.as_ref());
+        if let Err(e) = allocated.await {
             log::debug!(program = &*program.0, error = e.to_string().as_str(); "cannot allocate tokens for another daemon");
             return AllocationOutcome::Unavailable;
         }
@@ -254,6 +277,37 @@
         self.partitions.refresh_program(program).await
     }
 
+    /// Learns where a stream was begun; `key` is that of its record.
+    pub async fn find_stream(
+        &self,
+        key: &ProgramKey,
+        attempt: &RequestId,
+    ) -> Result<Knowledge, StoreFailure> {
+        let message = PeerRequest::FindStream {
+            key: key.clone(),
+            attempt: attempt.clone(),
+        };
+        for home in self.homes(key) {
+            if let Some(PeerResponse::StreamFound(Some(knowledge))) =
+                self.ask(&home, &message).await
+            {
+                return Ok(knowledge);
+            }
+        }
+        self.partitions.refresh_program(key).await?;
+        Ok(self.partitions.stream_origin(attempt))
+    }
+
+    /// Returns where a stream was begun; `None` if the store cannot be read.
+    pub async fn find_stream_as_home(
+        &self,
+        key: &ProgramKey,
+        attempt: &RequestId,
+    ) -> Option<Knowledge> {
+        self.partitions.refresh_program(key).await.ok()?;
+        Some(self.partitions.stream_origin(attempt))
+    }
+
     /// Returns what all daemons have allocated of a program's tokens; `None` if the store cannot be
     /// read.
     pub async fn allocations_as_home(&self, program: &ProgramKey) -> Option<ProgramAllocations> {
@@ -275,7 +329,8 @@
         let outcome = match &response {
             Ok(Ok(PeerResponse::Allocated(AllocationOutcome::Unavailable)))
             | Ok(Ok(PeerResponse::Settled(false)))
-            | Ok(Ok(PeerResponse::ProgramAllocations(None))) => "store unavailable",
+            | Ok(Ok(PeerResponse::ProgramAllocations(None)))
+            | Ok(Ok(PeerResponse::StreamFound(None))) => "store unavailable",
             Ok(Ok(_)) => "done",
             Ok(Err(_)) => "no response",
             Err(_) => "late",
--- a/kingcupspan/src/gateway/error_response.rs
+++ b/kingcupspan/src/gateway/error_response.rs
@@ -87,6 +87,14 @@
     #[display("endpoints full")]
     EndpointsFull,
 
+    /// It is not known which software version has begun the stream that the request continues.
+    #[display("unknown stream")]
+    UnknownStream,
+
+    /// No endpoint of the software version that has begun the stream accepts requests.
+    #[display("version not served")]
+    VersionNotServed,
+
     /// The data needed for the request cannot be read because the store is unreachable.
     #[display("store away")]
     StoreUnreachable,
@@ -130,6 +138,8 @@
             | Self::CrashesEndpoints
             | Self::EnginesOverloaded
             | Self::EndpointsFull
+            | Self::UnknownStream
+            | Self::VersionNotServed
             | Self::StoreUnreachable
             | Self::Stopping
             | Self::TimeoutBeforeSend => 503,
--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -5,14 +5,18 @@
     time::{Duration, Instant},
 };
 
-use kingcupspan_core::gateway::{
-    call::{CallInfo, RequestId},
-    crash_tracker::Fingerprint,
-    endpoint::Endpoint,
-    history::{self, Turn},
-    quota::Token,
-    routing::{Configuration, Route, ServiceName},
-    workspace::{self, Workspace, WorkspaceName},
+use kingcupspan_core::{
+    gateway::{
+        call::{CallInfo, RequestId},
+        crash_tracker::Fingerprint,
+        endpoint::{Endpoint, SoftwareVersion},
+        history::{self, Turn},
+        quota::Token,
+        routing::{Configuration, Route, ServiceName},
+        stream_origin::StreamRecord,
+        workspace::{self, Workspace, WorkspaceName},
+    },
+    id::WallMs,
 };
 
 use crate::{
@@ -73,6 +77,12 @@
     /// Token of the workspace's quota that is not spent yet.
     pub quota_token: Option<Token>,
 
+    /// Software version at which a stream has to run; `None` if any may run it.
+    pub stream_version: Option<StreamVersion>,
+
+    /// Time in the first record of where the stream is begun.
+    pub stream_recorded_since: Option<WallMs>,
+
     /// How far the request has been processed.
     pub progress: Progress,
 
@@ -104,6 +114,26 @@
     }
 }
 
+/// Software version at which a stream has to run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamVersion {
+    /// This attempt begins the stream, and this is recorded of it.
+    Begun(StreamRecord),
+
+    /// An earlier attempt has begun the stream at this version.
+    Continued(SoftwareVersion),
+}
+
+impl StreamVersion {
+    /// The version.
+    pub fn version(&self) -> &SoftwareVersion {
+        match self {
+            Self::Begun(record) => &record.origin.version,
+            Self::Continued(version) => version,
+        }
+    }
+}
+
 /// How far a request has been processed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -118,6 +148,12 @@
 }
 
 impl Exchange {
+    /// Whether an endpoint may run the request.
+    pub fn suits(&self, endpoint: &Endpoint) -> bool {
+        let version = self.stream_version.as_ref().map(StreamVersion::version);
+        version.is_none_or(|v| *v == endpoint.version)
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/kingcupspan/src/gateway/ledger/mod.rs
+++ b/kingcupspan/src/gateway/ledger/mod.rs
@@ -22,6 +22,7 @@
     gateway::{
         allocation::{self, AllocationId, BudgetState, Settlement, TokenBalance},
         call::ProgramKey,
+        stream_origin::StreamRecord,
         workspace,
     },
     id::{MonoMs, WallMs},
@@ -89,6 +90,9 @@
 
     /// Time until which the turn can wait for its tokens.
     pub deadline: Instant,
+
+    /// Where the turn's stream is begun, if it may be continued later.
+    pub stream: Option<StreamRecord>,
 }
 
 /// State of an allocation that is not settled in the store yet.
@@ -320,7 +324,7 @@
     }
 
     /// Creates an id for a new allocation of this daemon.
-    fn next_allocation_id(&self) -> AllocationId {
+    pub fn next_allocation_id(&self) -> AllocationId {
         let mut last = self.last_allocation.lock();
         *last = self.clock.wall().max(WallMs(last.0 + 1));
         AllocationId {
--- a/kingcupspan/src/gateway/ledger/reservation.rs
+++ b/kingcupspan/src/gateway/ledger/reservation.rs
@@ -6,6 +6,7 @@
 use kingcupspan_core::gateway::{
     allocation::{AllocationId, Settlement},
     call::ProgramKey,
+    stream_origin::StreamRecord,
 };
 
 use super::{Ledger, TokenRequest};
@@ -20,6 +21,7 @@
     program: ProgramKey,
     id: AllocationId,
     max_tokens: u64,
+    stream: Option<StreamRecord>,
     progress: Progress,
 
     /// Number of tokens used so far; more than were reserved if the endpoint exceeds its limit.
@@ -48,6 +50,7 @@
             program: request.program.clone(),
             id,
             max_tokens: request.max_tokens,
+            stream: request.stream.clone(),
             progress: Progress::New,
             used: 0,
         }
@@ -67,8 +70,9 @@
         let homes = &self.ledger.homes;
         let (program, id) = (&self.program, &self.id);
         if self.progress != Progress::New {
-            let allocated = homes.allocate_here(program, id, self.max_tokens).await;
-            return allocated.map(|()| false);
+            let stream = self.stream.as_ref();
+            let allocated = homes.allocate_here(program, id, self.max_tokens, stream);
+            return allocated.await.map(|()| false);
         }
         self.ledger.note_allocation(program, id, self.max_tokens);
         self.progress = Progress::Requested;
@@ -77,6 +81,7 @@
             id: id.clone(),
             tokens: self.max_tokens,
             limit,
+            stream: self.stream.clone(),
         };
         homes.allocate(&request).await
     }
--- a/kingcupspan/src/gateway/metrics.rs
+++ b/kingcupspan/src/gateway/metrics.rs
@@ -29,6 +29,9 @@
     /// Requests sent to endpoints, by outcome.
     pub sends: IntCounterVec,
 
+    /// Requests that continue a stream, by outcome.
+    pub continued_streams: IntCounterVec,
+
     /// Seconds from the last event of a turn to the end of its answer, which waits for the store.
     pub held_ends_s: Histogram,
 
@@ -88,6 +91,11 @@
                 "Questions of other daemons",
                 &["question"],
             ),
+            continued_streams: counters(
+                "continued_streams_total",
+                "Requests that continue a stream",
+                &["outcome"],
+            ),
             held_ends_s: register(&registry, Histogram::with_opts(held_ends)),
             in_flight_requests: gauge("requests_under_way", "Requests under way"),
             configuration_version: gauge("configuration_version", "Version in force"),
--- a/kingcupspan/src/gateway/partitions/mod.rs
+++ b/kingcupspan/src/gateway/partitions/mod.rs
@@ -6,6 +6,7 @@
 //! partition from where its last read ended, and only when it needs the records.
 
 mod accounts;
+mod streams;
 mod turns;
 
 use std::{
@@ -29,6 +30,7 @@
         fragment::Assembler,
         history::TurnCache,
         incarnation::Incarnation,
+        stream_origin::{StreamOrigins, StreamRecord},
     },
     id::MonoMs,
     retry::Backoff,
@@ -97,6 +99,12 @@
     fragments: Mutex<Assembler>,
 
     allocations: Mutex<Allocations>,
+
+    /// Streams that may be continued.
+    streams: Mutex<StreamOrigins>,
+
+    /// Number of streams that this daemon has recorded, by number of the partition.
+    recorded_streams: Mutex<HashMap<u32, u32>>,
 }
 
 impl Partitions {
@@ -128,6 +136,8 @@
             turns: Mutex::new(TurnCache::new(cache_bytes)),
             fragments: Mutex::default(),
             allocations: Mutex::default(),
+            streams: Mutex::default(),
+            recorded_streams: Mutex::default(),
         }
     }
 
@@ -188,6 +198,7 @@
             MonoMs(last_read.0.saturating_sub(span.as_millis() as u64))
         };
         self.allocations.lock().expire(before);
+        self.streams.lock().expire(self.clock.wall());
     }
 
     /// Allocations of a program that each daemon has made, according to the records read so
@@ -214,21 +225,28 @@
         self.store.is_slow()
     }
 
-    /// Records an allocation and reads all records before it.
+    /// Records an allocation and reads all records before it; the same call records where the
+    /// stream is begun for which the tokens are.
     pub async fn allocate(
         &self,
         program: &ProgramKey,
         id: &AllocationId,
         tokens: u64,
+        stream: Option<&StreamRecord>,
     ) -> Result<(), StoreFailure> {
         let (record, allocation) = stored_record::allocation(program.clone(), id.clone(), tokens);
+        let mut records = vec![record];
         let partition = self.partition_of_program(program);
         let started_at = self.clock.mono();
         // It counts from now on, so that the records of a call are all known when it has ended.
         self.apply(allocation);
-        let append = self
-            .group_commit
-            .append(partition, vec![record], Urgency::Now);
+        if let Some(stream) = stream {
+            let (record, stream) =
+                stored_record::stream(program.clone(), id.clone(), stream.clone());
+            self.apply(stream);
+            records.push(record);
+        }
+        let append = self.group_commit.append(partition, records, Urgency::Now);
         let offsets = append.await?;
         self.read_up_to(partition, offsets).await?;
         self.last_reads.lock().insert(partition, started_at);
@@ -380,6 +398,10 @@
                     .lock()
                     .apply(&program, id, tokens, self.clock.mono());
             }
+            StoredRecord::Stream(_, id, record) => {
+                let now = self.clock.wall();
+                self.streams.lock().insert(id, record, now);
+            }
             // Records of former versions.
             StoredRecord::GrantsDisabled(_) | StoredRecord::Claim(..) => {}
         }
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -114,6 +114,10 @@
             let allocations = service.allocation_homes.allocations_as_home(&program);
             PeerResponse::ProgramAllocations(allocations.await)
         }
+        PeerRequest::FindStream { key, attempt } => {
+            let found = service.allocation_homes.find_stream_as_home(&key, &attempt);
+            PeerResponse::StreamFound(found.await)
+        }
         PeerRequest::GrantQuota(question) => {
             if question.domain == service.peers.local.domain {
                 service.peers.note_request_from_own_domain();
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -9,6 +9,7 @@
         history::Turn,
         incarnation::Incarnation,
         rate_limit::{Claim, RequestRate, Reservation},
+        stream_origin::Knowledge,
         workspace::{Quota, WorkspaceName},
     },
     id::Version,
@@ -216,6 +217,15 @@
     /// Asks the home of a program's allocations for all of them.
     ProgramAllocations(ProgramKey),
 
+    /// Asks the home of a program's allocations where a stream was begun.
+    FindStream {
+        /// Key of the stream's record.
+        key: ProgramKey,
+
+        /// The attempt that brought the first event.
+        attempt: RequestId,
+    },
+
     /// Asks the home of a workspace for tokens of its quota.
     GrantQuota(QuotaQuestion),
 
@@ -247,6 +257,7 @@
             Self::Allocate(_) => "allocate",
             Self::Settle { .. } => "settle",
             Self::ProgramAllocations(_) => "program allocations",
+            Self::FindStream { .. } => "find stream",
             Self::GrantQuota(_) => "grant quota",
             Self::TakeOverQuota { .. } => "take over quota",
         }
@@ -262,6 +273,7 @@
                 | Self::Allocate(_)
                 | Self::Settle { .. }
                 | Self::ProgramAllocations(_)
+                | Self::FindStream { .. }
                 | Self::GrantQuota(_)
                 | Self::TakeOverQuota { .. }
         )
@@ -330,6 +342,9 @@
     /// Response to [`PeerRequest::ProgramAllocations`]; `None` if the store cannot be read.
     ProgramAllocations(Option<ProgramAllocations>),
 
+    /// Response to [`PeerRequest::FindStream`]; `None` if the store cannot be read.
+    StreamFound(Option<Knowledge>),
+
     /// Response to [`PeerRequest::GrantQuota`]; `None` if the peer cannot tell.
     QuotaGranted(Option<QuotaAnswer>),
 
--- a/kingcupspan/src/gateway/serve/choose.rs
+++ b/kingcupspan/src/gateway/serve/choose.rs
@@ -111,7 +111,7 @@
         residence: &Residence,
         denied: &[InstanceId],
     ) -> Result<Arc<Endpoint>, ErrorResponse> {
-        let ready = self.endpoints.ready(&ex.service).into_iter();
+        let ready = self.suitable_endpoints(ex).into_iter();
         let full_for = |e: &Endpoint| {
             let (claim, _) = residence.claim(ex, &e.id);
             let full_for = self.endpoint_limits.full_for(&e.id, claim);
@@ -191,7 +191,7 @@
         residence: &Residence,
         denied: &[InstanceId],
     ) -> Vec<Prospect> {
-        let ready = self.endpoints.ready(&ex.service);
+        let ready = self.suitable_endpoints(ex);
         let mut prospects = self.upstream.prospects(&ex.service, ready);
         prospects.retain(|p| {
             let endpoint = &p.candidate.endpoint;
@@ -226,7 +226,7 @@
         slow: &InstanceId,
         tried: &[InstanceId],
     ) -> Option<Arc<Endpoint>> {
-        let ready = self.endpoints.ready(&ex.service);
+        let ready = self.suitable_endpoints(ex);
         let mut prospects = self.upstream.prospects(&ex.service, ready);
         prospects.retain(|Prospect { candidate: c, .. }| {
             let is_other = c.endpoint.id != *slow && !tried.contains(&c.endpoint.id);
@@ -284,9 +284,24 @@
         placements.collect()
     }
 
+    /// Endpoints that accept new requests of the service and may run this one.
+    fn suitable_endpoints(&self, ex: &Exchange) -> Vec<Arc<Endpoint>> {
+        let mut ready = self.endpoints.ready(&ex.service);
+        ready.retain(|e| ex.suits(e));
+        ready
+    }
+
+    /// Endpoint at which a request would be placed now. Nothing is reserved or counted.
+    pub(super) fn likely_endpoint(&self, ex: &Exchange) -> Option<Arc<Endpoint>> {
+        let residence = self.residence(ex);
+        let prospects = self.prospects(ex, &residence, &[]);
+        let rotate = || self.rotation.load(Ordering::Relaxed);
+        self.place_among(ex, &prospects, &[], rotate)
+    }
+
     /// Endpoints that accept new requests of the service, with their load.
     pub(super) fn candidates(&self, ex: &Exchange) -> Vec<Candidate> {
-        let ready = self.endpoints.ready(&ex.service);
+        let ready = self.suitable_endpoints(ex);
         self.upstream.candidates(&ex.service, ready)
     }
 
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -7,6 +7,7 @@
 mod refuse;
 mod second_copy;
 mod send;
+mod stream_version;
 
 use std::{
     sync::{Arc, atomic::AtomicU64},
@@ -37,7 +38,7 @@
         endpoint_limits::EndpointLimits,
         endpoints::Endpoints,
         error_response::{ErrorReason, ErrorResponse},
-        exchange::{ConnectionPolicy, Exchange, Progress},
+        exchange::{ConnectionPolicy, Exchange, Progress, StreamVersion},
         history_lookup::{self, HistoryError},
         last_engines::LastEngines,
         ledger::{Ledger, Reservation, ReserveError, TokenRequest},
@@ -235,6 +236,8 @@
             history: Vec::new(),
             reservation: None,
             quota_token: None,
+            stream_version: None,
+            stream_recorded_since: None,
             progress: Progress::NotSent,
             last_endpoint: None,
             refused_on: Vec::new(),
@@ -296,6 +299,7 @@
         caller
             .try_keep(kept)
             .map_err(|_| retry_later(ErrorReason::MemoryShort))?;
+        self.determine_version(ex).await?;
         self.reserve_tokens(ex).await?;
         let mut possible_runs = 0;
         loop {
@@ -348,10 +352,9 @@
 
     /// Reserves the tokens that a turn may generate.
     async fn reserve_tokens(&self, ex: &mut Exchange) -> Result<(), ErrorResponse> {
-        let Some(program) = ex.info.program.as_ref().filter(|_| ex.route.has_turns()) else {
-            return Ok(());
-        };
-        let Some(budget) = program.budget else {
+        let program = ex.info.program.as_ref().filter(|_| ex.route.has_turns());
+        let Some((program, budget)) = program.and_then(|p| Some((p, p.budget?))) else {
+            self.record_stream(ex);
             return Ok(());
         };
         let max_tokens = ex
@@ -363,9 +366,14 @@
             budget,
             max_tokens,
             deadline: ex.preparation_deadline(),
+            stream: match &ex.stream_version {
+                Some(StreamVersion::Begun(record)) => Some(record.clone()),
+                _ => None,
+            },
         };
         let e = match self.ledger.reserve(&token_request).await {
             Ok(reservation) => {
+                ex.stream_recorded_since = Some(reservation.settlement().id.made_at);
                 ex.reservation = Some(reservation);
                 return Ok(());
             }
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -32,7 +32,7 @@
         let mut tried: Vec<InstanceId> = Vec::new();
         let mut max_tried = MAX_ENDPOINTS_TRIED;
         loop {
-            let chosen = self.choose_endpoint(ex, &tried).await;
+            let chosen = self.choose_endpoint_of_version(ex, &tried).await;
             let endpoint = chosen.map_err(|response| match *possible_runs {
                 0 => response,
                 // The request may have run, so the error must not promise that it has not.
--- a/kingcupspan/src/gateway/stored_record.rs
+++ b/kingcupspan/src/gateway/stored_record.rs
@@ -8,6 +8,7 @@
         fragment::Fragment,
         history::Turn,
         incarnation::Incarnation,
+        stream_origin::StreamRecord,
     },
     id::WallMs,
 };
@@ -33,6 +34,10 @@
     #[serde(rename = "Taking")]
     Allocation(ProgramKey, AllocationId, u64),
 
+    /// Where a stream was begun. The key tells its partition: the program, or the attempt if it
+    /// belongs to none.
+    Stream(ProgramKey, AllocationId, StreamRecord),
+
     /// Written by former versions, which granted tokens without the store.
     #[serde(rename = "Closed")]
     GrantsDisabled(ProgramKey),
@@ -100,6 +105,18 @@
     (allocation.with_key(key), allocation)
 }
 
+/// Builds the record of where a stream was begun, and its decoded content.
+///
+/// Its key is that of one of the places of the daemon's VM, so that records of streams that have
+/// ended make room for others, also those of former runs of the daemon.
+pub fn stream(key: ProgramKey, id: AllocationId, stream: StreamRecord) -> (Record, StoredRecord) {
+    let run = &*id.daemon.0;
+    let vm = run.rsplit_once('/').map_or(run, |(vm, _)| vm);
+    let record_key = self::key(&format!("stream/{vm}/{}", stream.place));
+    let content = StoredRecord::Stream(key, id, stream);
+    (content.with_key(record_key), content)
+}
+
 /// Builds the records that settle an allocation, and the decoded content of the first one.
 ///
 /// It has a key of its own, so that it stays if the allocation is appended once more by a late
--- a/kingcupspan/tests/gateway/explain.rs
+++ b/kingcupspan/tests/gateway/explain.rs
@@ -125,7 +125,7 @@
     let configuration = settings::configuration(2, 3_000);
     let mut configuration = settings::with_workspaces(configuration, &[("north", "north-key")]);
     configuration["tenants"][0]["priority"] = 2.into();
-    let fleet = Fleet::start_with_workspaces("gateway-explain-rank", 1, &configuration).await;
+    let fleet = Fleet::start_with_configuration("gateway-explain-rank", 1, &configuration).await;
     let with_key = |mut request: Request| {
         request.headers += "Authorization: Bearer north-key\r\n";
         request
--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -59,8 +59,8 @@
         Self::start_on(name, store, &servers, daemons, timeout_ms).await
     }
 
-    /// Starts a fleet with a configuration that has workspaces.
-    pub async fn start_with_workspaces(
+    /// Starts a fleet with a configuration of its own.
+    pub async fn start_with_configuration(
         name: &str,
         daemons: usize,
         configuration: &serde_json::Value,
@@ -156,11 +156,22 @@
         service: &str,
         id: &str,
         behavior: EndpointBehavior,
+    ) -> Arc<Endpoint> {
+        Self::start_endpoint_of_version(store, service, id, behavior, settings::ENDPOINT_VERSION)
+    }
+
+    /// Starts a simulated endpoint of a software version and lists it in the store as ready.
+    pub fn start_endpoint_of_version(
+        store: &Store,
+        service: &str,
+        id: &str,
+        behavior: EndpointBehavior,
+        version: &str,
     ) -> Arc<Endpoint> {
         let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 8080);
         let endpoint = Endpoint::new(id, behavior);
         task::spawn(Arc::clone(&endpoint).serve(addr));
-        let entry = settings::entry(service, addr, "ready");
+        let entry = settings::versioned_entry(service, addr, "ready", version);
         store.put("keyed.servers", id, Some(&entry.to_string()));
         endpoint
     }
--- a/kingcupspan/tests/gateway/paged_reads.rs
+++ b/kingcupspan/tests/gateway/paged_reads.rs
@@ -132,7 +132,7 @@
     id: AllocationId,
     tokens: u64,
 ) -> Result<(), StoreFailure> {
-    partitions.allocate(&program(), &id, tokens).await
+    partitions.allocate(&program(), &id, tokens, None).await
 }
 
 /// Settles all allocations with `used` tokens each.
--- a/kingcupspan/tests/gateway/quotas.rs
+++ b/kingcupspan/tests/gateway/quotas.rs
@@ -46,7 +46,7 @@
     let limited = &mut configuration[settings::WORKSPACES][1];
     limited["rate_per_s"] = json!(rate_per_s);
     limited["burst"] = json!(BURST);
-    Fleet::start_with_workspaces(name, DAEMONS, &configuration).await
+    Fleet::start_with_configuration(name, DAEMONS, &configuration).await
 }
 
 /// Callers of the limited workspace that send requests until they are stopped.
--- a/kingcupspan/tests/gateway/shared_records.rs
+++ b/kingcupspan/tests/gateway/shared_records.rs
@@ -58,7 +58,7 @@
         daemon: daemon.into(),
         made_at: WallMs(tokens),
     };
-    let allocated = partitions.allocate(program, &id, tokens).await;
+    let allocated = partitions.allocate(program, &id, tokens, None).await;
     allocated.expect("the store accepts records");
 }
 
--- a/kingcupspan/tests/gateway/workspaces.rs
+++ b/kingcupspan/tests/gateway/workspaces.rs
@@ -28,7 +28,7 @@
 async fn start_fleet(name: &str, daemons: usize) -> Fleet {
     let workspaces = [("north", NORTH_KEY), ("south", SOUTH_KEY)];
     let configuration = settings::with_workspaces(settings::configuration(2, 2_000), &workspaces);
-    Fleet::start_with_workspaces(name, daemons, &configuration).await
+    Fleet::start_with_configuration(name, daemons, &configuration).await
 }
 
 /// Adds a key to a request.
--- a/kingcupspan_core/src/gateway/mod.rs
+++ b/kingcupspan_core/src/gateway/mod.rs
@@ -25,5 +25,6 @@
 pub mod routing;
 pub mod second_copy;
 pub mod shares;
+pub mod stream_origin;
 pub mod turn_queue;
 pub mod workspace;
--- /dev/null
+++ b/kingcupspan_core/src/gateway/stream_origin.rs
@@ -0,0 +1,123 @@
+//! Software versions at which streams were begun.
+//!
+//! A stream that has broken off may be continued by an endpoint of the version that began it, and
+//! by no other: what two versions generate does not fit together, and endpoints do not check it.
+//! Before the first event of a stream is sent, the daemon that serves it records the version. A
+//! record that exists is all that permits a continuation: where it cannot be found, nobody knows
+//! whether the version is the right one.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    allocation::AllocationId, call::RequestId, endpoint::SoftwareVersion, routing::ServiceName,
+};
+use crate::id::WallMs;
+
+/// Time for which a stream may be continued after it was begun, in milliseconds; callers give
+/// up much earlier.
+const RETENTION_MS: u64 = 120_000;
+
+/// Where a stream was begun.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Service of the endpoint.
+    pub service: ServiceName,
+
+    /// Software version of the endpoint.
+    pub version: SoftwareVersion,
+}
+
+/// Record of the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// The attempt that brings the first event.
+    pub attempt: RequestId,
+
+    /// Where the stream is begun.
+    pub origin: Origin,
+
+    /// Time of the first record that the same daemon has made of the same attempt, if the
+    /// attempt has moved to another version before it brought an event; this record replaces
+    /// those made from then on.
+    pub replaces_since: Option<WallMs>,
+
+    /// Which of the daemon's places in the store the record takes; the store keeps the newest
+    /// record of each place.
+    pub place: u32,
+}
+
+/// What is known of the origin of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Knowledge {
+    /// There is no record of the stream.
+    Unknown,
+
+    /// The stream was begun here.
+    Known(Origin),
+
+    /// Several streams were begun under the same identifier of an attempt.
+    Ambiguous,
+}
+
+/// Records of streams that may still be continued, by attempt.
+#[derive(Debug, Clone, Default)]
+pub struct StreamOrigins {
+    records: HashMap<RequestId, Vec<(AllocationId, StreamRecord)>>,
+}
+
+impl StreamOrigins {
+    /// Adds a record; records may arrive in any order and more than once.
+    pub fn insert(&mut self, id: AllocationId, record: StreamRecord, now: WallMs) {
+        if is_expired(&id, now) {
+            return;
+        }
+        let records = self.records.entry(record.attempt.clone()).or_default();
+        if records.iter().all(|(known, _)| *known != id) {
+            records.push((id, record));
+        }
+    }
+
+    /// Returns where the stream was begun whose first event `attempt` has brought.
+    pub fn find(&self, attempt: &RequestId) -> Knowledge {
+        let records = self.records.get(attempt).map_or(&[][..], Vec::as_slice);
+        let is_replaced = |id: &AllocationId| records.iter().any(|r| replaces(r, id));
+        let valid = records.iter().filter(|(id, _)| !is_replaced(id));
+        let mut origins = valid.map(|(_, record)| &record.origin);
+        match origins.next() {
+            None => Knowledge::Unknown,
+            Some(first) if origins.all(|o| o == first) => Knowledge::Known(first.clone()),
+            Some(_) => Knowledge::Ambiguous,
+        }
+    }
+
+    /// Forgets streams that nobody continues any more.
+    pub fn expire(&mut self, now: WallMs) {
+        self.records.retain(|_, records| {
+            records.retain(|(id, _)| !is_expired(id, now));
+            !records.is_empty()
+        });
+    }
+
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no streams.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+/// Whether a record replaces the one with an identifier.
+fn replaces((id, record): &(AllocationId, StreamRecord), other: &AllocationId) -> bool {
+    let is_in_span = |since: WallMs| since <= other.made_at && other.made_at < id.made_at;
+    id.daemon == other.daemon && record.replaces_since.is_some_and(is_in_span)
+}
+
+/// Whether a record is too old to be of use.
+fn is_expired(id: &AllocationId, now: WallMs) -> bool {
+    id.made_at.0 + RETENTION_MS < now.0
+}
--- a/kingcupspan_core/tests/gateway/main.rs
+++ b/kingcupspan_core/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod routing;
 mod second_copy;
 mod shares;
+mod stream_origin;
 mod turn_queue;
 mod turn_spec;
 mod workspace;
--- /dev/null
+++ b/kingcupspan_core/tests/gateway/stream_origin.rs
@@ -0,0 +1,118 @@
+//! Tests of what is known of the version that began a stream.
+
+use kingcupspan_core::{
+    gateway::{
+        allocation::AllocationId,
+        stream_origin::{Knowledge, Origin, StreamOrigins, StreamRecord},
+    },
+    id::WallMs,
+};
+use proptest::prelude::*;
+
+const NOW: WallMs = WallMs(1_000_000);
+
+fn origin(version: &str) -> Origin {
+    Origin {
+        service: "s".into(),
+        version: version.into(),
+    }
+}
+
+/// Creates a record of attempt `a` that a daemon has made so many milliseconds ago.
+fn record(
+    daemon: &str,
+    age_ms: u64,
+    version: &str,
+    replaces_since: Option<u64>,
+) -> (AllocationId, StreamRecord) {
+    let made_at = |age_ms| WallMs(NOW.0 - age_ms);
+    let id = AllocationId {
+        daemon: daemon.into(),
+        made_at: made_at(age_ms),
+    };
+    let record = StreamRecord {
+        attempt: "a".into(),
+        origin: origin(version),
+        replaces_since: replaces_since.map(made_at),
+        place: 0,
+    };
+    (id, record)
+}
+
+fn found(records: &[(AllocationId, StreamRecord)]) -> Knowledge {
+    let mut origins = StreamOrigins::default();
+    for (id, record) in records {
+        origins.insert(id.clone(), record.clone(), NOW);
+    }
+    origins.find(&"a".into())
+}
+
+#[test]
+fn version_of_a_recorded_stream_is_known() {
+    assert_eq!(found(&[]), Knowledge::Unknown);
+    let first = record("d", 50, "v1", None);
+    assert_eq!(
+        found(std::slice::from_ref(&first)),
+        Knowledge::Known(origin("v1"))
+    );
+    assert_eq!(
+        found(&[first.clone(), first.clone()]),
+        Knowledge::Known(origin("v1"))
+    );
+    let of_other_daemon = record("e", 40, "v1", None);
+    assert_eq!(
+        found(&[first, of_other_daemon]),
+        Knowledge::Known(origin("v1"))
+    );
+}
+
+// Guards against the version of another caller's stream under the same identifier.
+#[test]
+fn streams_under_one_identifier_are_ambiguous() {
+    let first = record("d", 50, "v1", None);
+    for other in [
+        record("e", 40, "v2", None),
+        record("d", 40, "v2", None),
+        // Another daemon, or another attempt of this one, has moved to this version.
+        record("e", 40, "v2", Some(45)),
+        record("d", 40, "v2", Some(45)),
+    ] {
+        assert_eq!(found(&[first.clone(), other]), Knowledge::Ambiguous);
+    }
+}
+
+#[test]
+fn old_records_are_forgotten() {
+    let mut origins = StreamOrigins::default();
+    let (id, old) = record("d", 120_000, "v1", None);
+    origins.insert(id, old, NOW);
+    assert_eq!(origins.len(), 1);
+    origins.expire(WallMs(NOW.0 + 1));
+    assert!(origins.is_empty());
+    let (id, too_old) = record("d", 120_001, "v1", None);
+    origins.insert(id, too_old, NOW);
+    assert!(origins.is_empty());
+}
+
+/// Creates the records of an attempt that moves from each version to the next one.
+fn moves(versions: &[String]) -> Vec<(AllocationId, StreamRecord)> {
+    let of_move = |(i, version): (usize, &String)| {
+        let replaces_since = (i > 0).then_some(50);
+        record("d", 50 - i as u64, version, replaces_since)
+    };
+    versions.iter().enumerate().map(of_move).collect()
+}
+
+proptest! {
+    // Guards against a version that depends on the order in which records are read: a listing of the
+    // store returns them in another order than the one in which they were written.
+    #[test]
+    fn last_of_several_moves_counts_in_any_order(
+        (last, records) in prop::collection::vec("v[1-3]", 1..6).prop_flat_map(|versions| {
+            let last = versions[versions.len() - 1].clone();
+            (Just(last), Just(moves(&versions)).prop_shuffle())
+        }),
+    ) {
+        prop_assert_eq!(found(&records), Knowledge::Known(origin(&last)));
+    }
+}
