Send no stream to an engine that was started again after it was listed

What callers could see: a stream that goes on at another software version, because the list still names the old one for an engine that was started again under its identifier. Change: a new connection is asked for the start of its run before a stream is sent on it, while several versions are listed or the list is older than 1.5 s. A run that is not the listed one gets nothing until it is listed anew. Test: stream_is_not_joined_at_an_engine_that_was_replaced_under_its_id; with the check switched off it fails (second0 of v1 ran at the replaced engine), and passes with it.

--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -35,6 +35,9 @@
 /// Longest pause after any failed read.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_200);
 
+/// Time since the last read of the list for which it counts as current.
+const CURRENT_FOR: Duration = Duration::from_millis(1_500);
+
 /// The endpoints listed in the store, as last read.
 pub struct Endpoints {
     directory: Mutex<Directory>,
@@ -68,6 +71,25 @@
         }
     }
 
+    /// Records that an endpoint was started again after it was listed: the list tells neither the
+    /// version nor the state of its new run yet.
+    pub fn note_replaced(&self, endpoint: &Endpoint) {
+        let now = self.clock.mono();
+        if self.directory.lock().note_leaving(endpoint, now) {
+            log::info!(endpoint = &*endpoint.id.0, version = &*endpoint.version.0; "endpoint was started again; sending it no further requests until it is listed anew");
+        }
+    }
+
+    /// Whether the list was read so lately that a change of it is known.
+    pub fn is_current(&self) -> bool {
+        *self.last_read_at.lock() >= self.clock.before(CURRENT_FOR)
+    }
+
+    /// Whether endpoints of several software versions are listed for a service.
+    pub fn has_versions(&self, service: &ServiceName) -> bool {
+        self.directory.lock().has_versions(service)
+    }
+
     /// Whether an endpoint is listed.
     pub fn is_listed(&self, id: &InstanceId) -> bool {
         self.directory.lock().contains(id)
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -56,6 +56,7 @@
                 timed_as: (!ex.runs_on_engine()).then_some(&*ex.route.name),
                 body: prompt.as_deref().unwrap_or(&ex.body),
                 deadline: ex.deadline,
+                needs_listed_run: self.needs_listed_run(ex),
                 refused_on: &ex.refused_on,
             };
             let copies = self
@@ -131,6 +132,7 @@
             Err(SendError::NotSent(cause)) => {
                 log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "cannot reach the endpoint; the request was not sent");
             }
+            Err(SendError::Replaced) => self.endpoints.note_replaced(&endpoint),
             Err(SendError::Lost(cause)) => {
                 log::warn!(request = &*ex.id.0, endpoint = &*endpoint.id.0, why = cause.as_str(); "no response from the endpoint; the request may have run");
                 *possible_runs += 1;
@@ -147,6 +149,7 @@
         Ok(response) if !response.is_trusted() => "unsigned",
         Ok(_) => "answered",
         Err(SendError::NotSent(_)) => "not sent",
+        Err(SendError::Replaced) => "replaced",
         Err(SendError::Lost(_)) => "lost",
     }
 }
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -7,6 +7,7 @@
     load_report::LoadReport, placement::Load, rate_limit::RequestRate,
 };
 
+use super::run_check::Run;
 use crate::http::conn::Conn;
 
 /// How long the load reported by an endpoint is used where it does not tell how long work takes.
@@ -23,6 +24,9 @@
 pub(super) struct EndpointConnection {
     pub(super) id: ConnectionId,
     pub(super) conn: Conn,
+
+    /// Run of the endpoint to which the connection leads.
+    pub(super) run: Run,
 }
 
 /// A request that an endpoint may have run.
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod request;
 mod response;
+mod run_check;
 
 use std::{
     collections::HashMap,
@@ -33,6 +34,7 @@
 use self::{
     endpoint_state::{EndpointConnection, EndpointState, SentRequest},
     health::{Attempt, Health},
+    run_check::Run,
 };
 use crate::{
     edge::tcp,
@@ -74,6 +76,10 @@
     #[error("request not sent: {0}")]
     NotSent(String),
 
+    /// The request was not sent, since the endpoint was started again after it was listed.
+    #[error("request not sent: the endpoint was started again")]
+    Replaced,
+
     /// The request was sent and may have run, but no response was received.
     #[error("no response received: {0}")]
     Lost(String),
@@ -210,6 +216,10 @@
                 .await
                 .inspect_err(|_| attempt.fail())?,
         };
+        if out.needs_listed_run {
+            let checked = run_check::check(&mut connection, endpoint).await;
+            checked.inspect_err(|_| attempt.fail())?;
+        }
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = out.encode(endpoint, remaining);
@@ -286,6 +296,7 @@
         EndpointConnection {
             id: ConnectionId(self.opened_connections.fetch_add(1, Ordering::Relaxed)),
             conn: Conn::new(stream),
+            run: Run::default(),
         }
     }
 
--- a/kingcupspan/src/gateway/upstream/request.rs
+++ b/kingcupspan/src/gateway/upstream/request.rs
@@ -46,6 +46,9 @@
     /// Time until which the caller waits for the response.
     pub deadline: Instant,
 
+    /// Whether only the run of the endpoint that is listed may run the request.
+    pub needs_listed_run: bool,
+
     /// Connections on which the endpoint has refused this attempt. It is not sent on them
     /// again: a second copy of a refusal could not be told from a response.
     pub refused_on: &'a [ConnectionId],
--- /dev/null
+++ b/kingcupspan/src/gateway/upstream/run_check.rs
@@ -0,0 +1,66 @@
+//! Finds out which run of an endpoint a connection leads to.
+//!
+//! An endpoint may be started again under the same identifier, with another version of its software,
+//! and the list of endpoints tells that late. A connection leads to one run for as long as it lasts,
+//! so it is asked once.
+
+use std::time::Duration;
+
+use async_std::future;
+use kingcupspan_core::gateway::endpoint::Endpoint;
+use kingcupspan_platform::report;
+
+use super::{SendError, endpoint_state::EndpointConnection};
+use crate::http::{conn::Conn, conn::ReadError};
+
+/// Timeout of a report, which waits for no other work of the endpoint.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Maximum size of a report, in bytes.
+const REPORT_MAX_BYTES: usize = 256 * 1024;
+
+/// The run of an endpoint to which a connection leads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Run {
+    /// The endpoint was not asked.
+    #[default]
+    Unchecked,
+
+    /// The endpoint does not tell when it was started.
+    NotTold,
+
+    /// The run that was started at this Unix time, in milliseconds.
+    StartedAt(u64),
+}
+
+/// Checks that a connection leads to the run of the endpoint that is listed.
+pub(super) async fn check(
+    connection: &mut EndpointConnection,
+    endpoint: &Endpoint,
+) -> Result<(), SendError> {
+    if connection.run == Run::Unchecked {
+        let report = read_report(&mut connection.conn, endpoint);
+        let report = future::timeout(REPORT_TIMEOUT, report).await;
+        connection.run = match report {
+            Ok(Ok(run)) => run,
+            Ok(Err(e)) => return Err(SendError::NotSent(e.to_string())),
+            Err(_) => return Err(SendError::NotSent("no report of the endpoint".to_owned())),
+        };
+    }
+    match connection.run {
+        Run::StartedAt(ms) if ms != endpoint.started_at_ms => Err(SendError::Replaced),
+        _ => Ok(()),
+    }
+}
+
+/// Asks the endpoint for its report.
+async fn read_report(conn: &mut Conn, endpoint: &Endpoint) -> Result<Run, ReadError> {
+    conn.write(&report::request(endpoint.addr)).await?;
+    let mut head = conn.response_head("GET").await?;
+    let body = conn.body(&mut head.framing, REPORT_MAX_BYTES).await?;
+    if !head.is_keep_alive {
+        return Err(ReadError::Closed);
+    }
+    let started_at_ms = report::started_at_ms(head.status, &body);
+    Ok(started_at_ms.map_or(Run::NotTold, Run::StartedAt))
+}
--- a/kingcupspan/tests/gateway/continued_streams.rs
+++ b/kingcupspan/tests/gateway/continued_streams.rs
@@ -305,3 +305,37 @@
         }
     }
 }
+
+// Guards against an engine that was started again under its identifier with another version, which
+// the list does not say yet.
+#[async_std::test]
+async fn stream_is_not_joined_at_an_engine_that_was_replaced_under_its_id() {
+    let versions = Versions::start("gateway-continued-replaced", 2).await;
+    let (replaced, _) = versions.engines[0].clone();
+    let mut begun = Vec::new();
+    for i in 0..12 {
+        let (program, first) = (format!("p{i}"), format!("first{i}"));
+        begun.push(versions.begin(i % 2, &begin(&program, &first)).await);
+    }
+    replaced.replace(2);
+    for (i, (engine, version)) in begun.iter().enumerate() {
+        let second = format!("second{i}");
+        let request = go_on(&format!("p{i}"), &second, &format!("first{i}"));
+        let is_replaced = Arc::ptr_eq(engine, &replaced);
+        let response = match is_replaced {
+            true => versions.fleet.send(i % 2, &request).await,
+            false => versions.send_without(engine, i % 2, &request).await,
+        };
+        if response.status == 200 {
+            let (executor, _) = versions.executor(&second).expect("an engine has run it");
+            assert!(!Arc::ptr_eq(&executor, &replaced), "{second} {version}");
+        }
+        // Another engine of the version is left for those that the replaced one began.
+        if is_replaced {
+            versions.assert_goes_on(&response, &second, version);
+        }
+    }
+    let runs = replaced.executed_requests();
+    let ran = |attempt: &str| runs.iter().any(|r| r.id.starts_with(attempt));
+    assert!(ran("first") && !ran("second"), "{runs:?}");
+}
