Continue streams whose callers do not name them

What callers saw: a stream that had broken off was refused, though its only version serves, if its caller sends the number of the last event and names no attempt. Change: records have a fingerprint of the request with its program and session; such a stream goes on if all streams of its request were begun at one version. Test: stream_that_is_not_named_goes_on_at_the_version_of_its_request (fails on: by its code an unnamed stream is always unknown; the refusals above are its run), stream_without_a_name_is_known_if_all_of_its_request_agree.

--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -15,9 +15,9 @@
 use kingcupspan_core::gateway::{
     allocation::{AllocationId, DaemonAllocations, Settlement},
     allocation_homes::{self, FOLLOWERS},
-    call::{ProgramKey, RequestId},
+    call::ProgramKey,
     incarnation::Incarnation,
-    stream_origin::{Knowledge, StreamRecord},
+    stream_origin::{Knowledge, StreamName, StreamRecord},
 };
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
@@ -281,11 +281,11 @@
     pub async fn find_stream(
         &self,
         key: &ProgramKey,
-        attempt: &RequestId,
+        name: &StreamName,
     ) -> Result<Knowledge, StoreFailure> {
         let message = PeerRequest::FindStream {
             key: key.clone(),
-            attempt: attempt.clone(),
+            name: name.clone(),
         };
         for home in self.homes(key) {
             if let Some(PeerResponse::StreamFound(Some(knowledge))) =
@@ -295,17 +295,17 @@
             }
         }
         self.partitions.refresh_program(key).await?;
-        Ok(self.partitions.stream_origin(attempt))
+        Ok(self.partitions.stream_origin(name))
     }
 
     /// Returns where a stream was begun; `None` if the store cannot be read.
     pub async fn find_stream_as_home(
         &self,
         key: &ProgramKey,
-        attempt: &RequestId,
+        name: &StreamName,
     ) -> Option<Knowledge> {
         self.partitions.refresh_program(key).await.ok()?;
-        Some(self.partitions.stream_origin(attempt))
+        Some(self.partitions.stream_origin(name))
     }
 
     /// Returns what all daemons have allocated of a program's tokens; `None` if the store cannot be
--- a/kingcupspan/src/gateway/partitions/streams.rs
+++ b/kingcupspan/src/gateway/partitions/streams.rs
@@ -5,8 +5,8 @@
 
 use kingcupspan_core::gateway::{
     allocation::AllocationId,
-    call::{ProgramKey, RequestId},
-    stream_origin::{Knowledge, StreamRecord},
+    call::ProgramKey,
+    stream_origin::{Knowledge, StreamName, StreamRecord},
 };
 
 use super::Partitions;
@@ -48,7 +48,7 @@
     }
 
     /// Returns where a stream was begun, by the records read so far.
-    pub fn stream_origin(&self, attempt: &RequestId) -> Knowledge {
-        self.streams.lock().find(attempt)
+    pub fn stream_origin(&self, name: &StreamName) -> Knowledge {
+        self.streams.lock().find(name)
     }
 }
--- a/kingcupspan/src/gateway/peer_service.rs
+++ b/kingcupspan/src/gateway/peer_service.rs
@@ -114,8 +114,8 @@
             let allocations = service.allocation_homes.allocations_as_home(&program);
             PeerResponse::ProgramAllocations(allocations.await)
         }
-        PeerRequest::FindStream { key, attempt } => {
-            let found = service.allocation_homes.find_stream_as_home(&key, &attempt);
+        PeerRequest::FindStream { key, name } => {
+            let found = service.allocation_homes.find_stream_as_home(&key, &name);
             PeerResponse::StreamFound(found.await)
         }
         PeerRequest::GrantQuota(question) => {
--- a/kingcupspan/src/gateway/peers/message.rs
+++ b/kingcupspan/src/gateway/peers/message.rs
@@ -9,7 +9,7 @@
         history::Turn,
         incarnation::Incarnation,
         rate_limit::{Claim, RequestRate, Reservation},
-        stream_origin::Knowledge,
+        stream_origin::{Knowledge, StreamName},
         workspace::{Quota, WorkspaceName},
     },
     id::Version,
@@ -222,8 +222,8 @@
         /// Key of the stream's record.
         key: ProgramKey,
 
-        /// The attempt that brought the first event.
-        attempt: RequestId,
+        /// Name of the stream.
+        name: StreamName,
     },
 
     /// Asks the home of a workspace for tokens of its quota.
--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -8,9 +8,10 @@
 use async_std::task;
 use kingcupspan_core::gateway::{
     call::{ContinuedStream, ProgramKey, RequestId},
+    crash_tracker::Fingerprint,
     endpoint::{Endpoint, InstanceId, SoftwareVersion},
     routing::RouteKind,
-    stream_origin::{Knowledge, Origin, StreamRecord},
+    stream_origin::{Knowledge, Origin, StreamName, StreamRecord},
     workspace,
 };
 
@@ -40,6 +41,7 @@
         let key = stream_key(ex, &ex.turn_id);
         let record = StreamRecord {
             attempt: ex.turn_id.clone(),
+            content: content(ex),
             origin: Origin {
                 service: ex.service.clone(),
                 version,
@@ -57,10 +59,17 @@
         ex: &Exchange,
         stream: &ContinuedStream,
     ) -> Result<SoftwareVersion, ErrorResponse> {
-        let knowledge = match stream {
-            ContinuedStream::Unnamed => Knowledge::Unknown,
-            ContinuedStream::BegunBy(attempt) => self.find_stream(ex, attempt).await?,
+        let (key, name) = match stream {
+            ContinuedStream::BegunBy(attempt) => (
+                stream_key(ex, attempt),
+                StreamName::Attempt(attempt.clone()),
+            ),
+            ContinuedStream::Unnamed => (
+                stream_key(ex, &ex.turn_id),
+                StreamName::Content(content(ex)),
+            ),
         };
+        let knowledge = self.find_stream(ex, &key, &name).await?;
         let (outcome, refusal) = match knowledge {
             Knowledge::Unknown => ("unknown", ErrorReason::UnknownStream),
             Knowledge::Ambiguous => ("ambiguous", ErrorReason::UnknownStream),
@@ -94,16 +103,16 @@
     async fn find_stream(
         &self,
         ex: &Exchange,
-        attempt: &RequestId,
+        key: &ProgramKey,
+        name: &StreamName,
     ) -> Result<Knowledge, ErrorResponse> {
-        let key = stream_key(ex, attempt);
-        let error = match self.allocation_homes.find_stream(&key, attempt).await {
+        let error = match self.allocation_homes.find_stream(key, name).await {
             Ok(knowledge) => return Ok(knowledge),
             Err(e) => e,
         };
-        match self.partitions.stream_origin(attempt) {
+        match self.partitions.stream_origin(name) {
             Knowledge::Unknown => {
-                log::warn!(request = &*ex.id.0, continues = &*attempt.0, error = error.to_string().as_str(); "cannot look up the version of the stream");
+                log::warn!(request = &*ex.id.0, error = error.to_string().as_str(); "cannot look up the version of the stream");
                 self.count_continuation("store unavailable");
                 Err(retry_later(ErrorReason::StoreUnreachable))
             }
@@ -204,3 +213,12 @@
         None => ProgramKey(Arc::clone(&first_attempt.0)),
     }
 }
+
+/// Fingerprint that all attempts of a request have in common, and no other request of its program
+/// at the same time.
+fn content(ex: &Exchange) -> Fingerprint {
+    match &ex.info.program {
+        Some(p) => ex.fingerprint().in_session(&p.program, &p.session),
+        None => ex.fingerprint(),
+    }
+}
--- a/kingcupspan/tests/gateway/continued_streams.rs
+++ b/kingcupspan/tests/gateway/continued_streams.rs
@@ -166,6 +166,49 @@
     }
 }
 
+// Guards against the refusal of all streams whose callers do not name them: the request is the same,
+// and so is its version.
+#[async_std::test]
+async fn stream_that_is_not_named_goes_on_at_the_version_of_its_request() {
+    let mut versions = Versions::start("gateway-continued-unnamed", 2).await;
+    let mut begun = Vec::new();
+    for i in 0..12 {
+        let request = begin(&format!("p{i}"), &format!("first{i}"));
+        let (engine, version) = versions.begin(i % 2, &request).await;
+        begun.push((engine, version, request));
+    }
+    for round in ["before", "after"] {
+        for (i, (engine, version, first)) in begun.iter().enumerate() {
+            let mut request = first.clone();
+            request.id = format!("{round}{i}");
+            request.headers += "Last-Event-Id: 2\r\n";
+            let response = versions.send_without(engine, (i / 2) % 2, &request).await;
+            versions.assert_goes_on(&response, &request.id, version);
+        }
+        if round == "before" {
+            versions.kill_all_daemons().await;
+        }
+    }
+    // Another stream of the same request has begun at the other version.
+    let (_, version, first) = begun.remove(0);
+    for (engine, of_engine) in &versions.engines {
+        let full = (*of_engine == version).then_some(EndpointBehavior::Full);
+        engine.set_behavior(full.unwrap_or(BREAKS_OFF));
+    }
+    let mut again = first.clone();
+    again.id = "again".to_owned();
+    let (_, other) = versions.begin(0, &again).await;
+    assert_ne!(other, version);
+    for (engine, _) in &versions.engines {
+        engine.set_behavior(BREAKS_OFF);
+    }
+    again.id = "of-which".to_owned();
+    again.headers += "Last-Event-Id: 2\r\n";
+    let sent_at = Instant::now();
+    let response = versions.fleet.send(1, &again).await;
+    versions.assert_refused(&response, &again.id, sent_at);
+}
+
 // Guards against a version that only daemons knew: after all of them were killed, streams must go on
 // where they began.
 #[async_std::test]
--- a/kingcupspan_core/src/gateway/crash_tracker.rs
+++ b/kingcupspan_core/src/gateway/crash_tracker.rs
@@ -11,7 +11,11 @@
 
 use crate::{
     digest::Digest,
-    gateway::{call::RequestId, endpoint::InstanceId, workspace::WorkspaceName},
+    gateway::{
+        call::{ProgramKey, RequestId},
+        endpoint::InstanceId,
+        workspace::WorkspaceName,
+    },
     id::MonoMs,
 };
 
@@ -33,6 +37,16 @@
         Self(head_digest.chain(body).prefix_u64())
     }
 
+    /// Returns the fingerprint of the same request in a session of a program.
+    pub fn in_session(self, program: &ProgramKey, session: &str) -> Self {
+        let digest = Digest::of(&self.0.to_be_bytes());
+        let digest = digest
+            .chain(program.0.as_bytes())
+            .chain(b"/")
+            .chain(session.as_bytes());
+        Self(digest.prefix_u64())
+    }
+
     /// Returns the fingerprint of the same request of a workspace.
     pub fn within(self, workspace: Option<&WorkspaceName>) -> Self {
         let qualified = workspace.map(|w| w.qualify(&self.0.to_string()));
--- a/kingcupspan_core/src/gateway/stream_origin.rs
+++ b/kingcupspan_core/src/gateway/stream_origin.rs
@@ -6,12 +6,13 @@
 //! record that exists is all that permits a continuation: where it cannot be found, nobody knows
 //! whether the version is the right one.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    allocation::AllocationId, call::RequestId, endpoint::SoftwareVersion, routing::ServiceName,
+    allocation::AllocationId, call::RequestId, crash_tracker::Fingerprint,
+    endpoint::SoftwareVersion, routing::ServiceName,
 };
 use crate::id::WallMs;
 
@@ -35,6 +36,9 @@
     /// The attempt that brings the first event.
     pub attempt: RequestId,
 
+    /// Fingerprint of the request with its program and session.
+    pub content: Fingerprint,
+
     /// Where the stream is begun.
     pub origin: Origin,
 
@@ -48,6 +52,16 @@
     pub place: u32,
 }
 
+/// How a stream is named that is to be continued.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamName {
+    /// By the attempt that brought its first event.
+    Attempt(RequestId),
+
+    /// By nothing but what its requests have in common; it is the stream of any of them.
+    Content(Fingerprint),
+}
+
 /// What is known of the origin of a stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Knowledge {
@@ -57,14 +71,17 @@
     /// The stream was begun here.
     Known(Origin),
 
-    /// Several streams were begun under the same identifier of an attempt.
+    /// Several streams were begun under this name, not all at the same version.
     Ambiguous,
 }
 
-/// Records of streams that may still be continued, by attempt.
+/// Records of streams that may still be continued.
 #[derive(Debug, Clone, Default)]
 pub struct StreamOrigins {
     records: HashMap<RequestId, Vec<(AllocationId, StreamRecord)>>,
+
+    /// Attempts of the same request.
+    attempts: HashMap<Fingerprint, BTreeSet<RequestId>>,
 }
 
 impl StreamOrigins {
@@ -73,23 +90,31 @@
         if is_expired(&id, now) {
             return;
         }
+        let attempts = self.attempts.entry(record.content).or_default();
+        attempts.insert(record.attempt.clone());
         let records = self.records.entry(record.attempt.clone()).or_default();
         if records.iter().all(|(known, _)| *known != id) {
             records.push((id, record));
         }
     }
 
-    /// Returns where the stream was begun whose first event `attempt` has brought.
-    pub fn find(&self, attempt: &RequestId) -> Knowledge {
+    /// Returns where a stream was begun.
+    pub fn find(&self, name: &StreamName) -> Knowledge {
+        match name {
+            StreamName::Attempt(attempt) => agreement(self.origins(attempt)),
+            StreamName::Content(content) => {
+                let attempts = self.attempts.get(content).into_iter().flatten();
+                agreement(attempts.flat_map(|a| self.origins(a)))
+            }
+        }
+    }
+
+    /// Returns where streams were begun whose first event an attempt has brought.
+    fn origins(&self, attempt: &RequestId) -> impl Iterator<Item = &Origin> {
         let records = self.records.get(attempt).map_or(&[][..], Vec::as_slice);
         let is_replaced = |id: &AllocationId| records.iter().any(|r| replaces(r, id));
-        let valid = records.iter().filter(|(id, _)| !is_replaced(id));
-        let mut origins = valid.map(|(_, record)| &record.origin);
-        match origins.next() {
-            None => Knowledge::Unknown,
-            Some(first) if origins.all(|o| o == first) => Knowledge::Known(first.clone()),
-            Some(_) => Knowledge::Ambiguous,
-        }
+        let valid = records.iter().filter(move |(id, _)| !is_replaced(id));
+        valid.map(|(_, record)| &record.origin)
     }
 
     /// Forgets streams that nobody continues any more.
@@ -98,6 +123,11 @@
             records.retain(|(id, _)| !is_expired(id, now));
             !records.is_empty()
         });
+        let records = &self.records;
+        self.attempts.retain(|_, attempts| {
+            attempts.retain(|a| records.contains_key(a));
+            !attempts.is_empty()
+        });
     }
 
     /// Number of streams.
@@ -111,6 +141,15 @@
     }
 }
 
+/// Returns the origin of a stream that was begun at one of these.
+fn agreement<'a>(mut origins: impl Iterator<Item = &'a Origin>) -> Knowledge {
+    match origins.next() {
+        None => Knowledge::Unknown,
+        Some(first) if origins.all(|o| o == first) => Knowledge::Known(first.clone()),
+        Some(_) => Knowledge::Ambiguous,
+    }
+}
+
 /// Whether a record replaces the one with an identifier.
 fn replaces((id, record): &(AllocationId, StreamRecord), other: &AllocationId) -> bool {
     let is_in_span = |since: WallMs| since <= other.made_at && other.made_at < id.made_at;
--- a/kingcupspan_core/tests/gateway/stream_origin.rs
+++ b/kingcupspan_core/tests/gateway/stream_origin.rs
@@ -3,7 +3,8 @@
 use kingcupspan_core::{
     gateway::{
         allocation::AllocationId,
-        stream_origin::{Knowledge, Origin, StreamOrigins, StreamRecord},
+        crash_tracker::Fingerprint,
+        stream_origin::{Knowledge, Origin, StreamName, StreamOrigins, StreamRecord},
     },
     id::WallMs,
 };
@@ -18,6 +19,10 @@
     }
 }
 
+fn content(body: &str) -> Fingerprint {
+    Fingerprint::of("POST", "/", body.as_bytes()).in_session(&"p".into(), "s")
+}
+
 /// Creates a record of attempt `a` that a daemon has made so many milliseconds ago.
 fn record(
     daemon: &str,
@@ -32,6 +37,7 @@
     };
     let record = StreamRecord {
         attempt: "a".into(),
+        content: content("body"),
         origin: origin(version),
         replaces_since: replaces_since.map(made_at),
         place: 0,
@@ -44,7 +50,7 @@
     for (id, record) in records {
         origins.insert(id.clone(), record.clone(), NOW);
     }
-    origins.find(&"a".into())
+    origins.find(&StreamName::Attempt("a".into()))
 }
 
 #[test]
@@ -81,6 +87,37 @@
     }
 }
 
+// Guards against the version of another request, or of one of several streams of a request.
+#[test]
+fn stream_without_a_name_is_known_if_all_of_its_request_agree() {
+    let mut origins = StreamOrigins::default();
+    let mut insert = |attempt: &str, age_ms, version, body| {
+        let (id, mut record) = record("d", age_ms, version, None);
+        record.attempt = attempt.into();
+        record.content = content(body);
+        origins.insert(id, record, NOW);
+        let name = |body| StreamName::Content(content(body));
+        [origins.find(&name("body")), origins.find(&name("other"))]
+    };
+    let known = |version| Knowledge::Known(origin(version));
+    assert_eq!(
+        insert("a", 9, "v1", "body"),
+        [known("v1"), Knowledge::Unknown]
+    );
+    assert_eq!(insert("b", 8, "v2", "other"), [known("v1"), known("v2")]);
+    assert_eq!(insert("c", 7, "v1", "body"), [known("v1"), known("v2")]);
+    assert_eq!(
+        insert("d", 6, "v2", "body"),
+        [Knowledge::Ambiguous, known("v2")]
+    );
+    origins.expire(WallMs(NOW.0 + 120_000));
+    assert!(origins.is_empty());
+    assert_eq!(
+        origins.find(&StreamName::Content(content("body"))),
+        Knowledge::Unknown
+    );
+}
+
 #[test]
 fn old_records_are_forgotten() {
     let mut origins = StreamOrigins::default();
