Let the first event of a stream wait for its record

What callers could see: a stream that belongs to no program is refused at another daemon right after it broke off, since its record was on the way. Cause: the record of such a stream has a call of its own, which nothing waited for. Streams of programs have it in the call that reserves their tokens. Change: the first event waits for the record, for 100 ms at most; the call is made while the endpoint works.

--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use async_std::{future, task};
 use kingcupspan_core::{
     gateway::{
         call::{CallInfo, RequestId},
@@ -32,6 +33,9 @@
 /// of this time to generate its first one.
 const MAX_PREPARATION_TIME: Duration = Duration::from_millis(1_200);
 
+/// Longest time for which the first event of a stream waits for a record of its own.
+const MAX_RECORDING_TIME: Duration = Duration::from_millis(100);
+
 /// A completely received request and the state of its processing.
 pub struct Exchange {
     /// The request line and headers.
@@ -83,6 +87,9 @@
     /// Time in the first record of where the stream is begun.
     pub stream_recorded_since: Option<WallMs>,
 
+    /// Call that records where the stream is begun, if it has one of its own.
+    pub stream_recording: Option<task::JoinHandle<()>>,
+
     /// How far the request has been processed.
     pub progress: Progress,
 
@@ -154,6 +161,15 @@
         version.is_none_or(|v| *v == endpoint.version)
     }
 
+    /// Waits for the record of where the stream is begun, so that the caller can continue it
+    /// anywhere; not for long, since the events are worth more.
+    pub async fn wait_for_stream_record(&mut self) {
+        if let Some(recording) = self.stream_recording.take() {
+            // Without the record the stream can be continued at this daemon only.
+            let _ = future::timeout(MAX_RECORDING_TIME, recording).await;
+        }
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -224,6 +224,7 @@
         if events.is_empty() {
             continue;
         }
+        ex.wait_for_stream_record().await;
         let mut bytes = head.take().unwrap_or_default();
         begin_body(ex, caller);
         push_chunk(&mut bytes, &events, ex.head.is_http10);
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -242,6 +242,7 @@
             quota_token: None,
             stream_version: None,
             stream_recorded_since: None,
+            stream_recording: None,
             progress: Progress::NotSent,
             last_endpoint: None,
             refused_on: Vec::new(),
--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -186,8 +186,7 @@
         Ok(true)
     }
 
-    /// Records where a stream is begun that needs no tokens. The request does not wait for the
-    /// store: without the record the stream just cannot be continued elsewhere.
+    /// Records where a stream is begun that needs no tokens, while it is sent to its endpoint.
     pub(super) fn record_stream(&self, ex: &mut Exchange) {
         let Some(StreamVersion::Begun(record)) = &ex.stream_version else {
             return;
@@ -197,12 +196,12 @@
         let partitions = Arc::clone(&self.partitions);
         let record = record.clone();
         ex.stream_recorded_since = Some(id.made_at);
-        task::spawn(async move {
+        ex.stream_recording = Some(task::spawn(async move {
             if let Err(e) = partitions.record_stream(&key, &id, &record).await {
                 let attempt = workspace::readable(&record.attempt.0);
                 log::info!(request = &*attempt, error = e.to_string().as_str(); "cannot record the version of the stream");
             }
-        });
+        }));
     }
 }
 
