Do not give up endpoints that are silent for a second

What callers saw: requests lost, those that may not be repeated without an outcome, on connections to an endpoint that was silent for 0.6 s and sound. Cause: the user timeout of 0.6 s of all connections, which also ends keepalive probes, whatever their number; read from the code, as the endpoint's kernel cannot be silenced in a test here. What finds a dead endpoint instead: one with requests in flight and no byte for 350 ms is connected to; if that fails it gets no further requests, and requests that may be repeated go elsewhere at once. The others wait.

--- a/kingcupspan/src/edge/client.rs
+++ b/kingcupspan/src/edge/client.rs
@@ -5,7 +5,7 @@
 use async_std::{future, net::TcpStream};
 use futures_lite::AsyncReadExt;
 
-use crate::edge::tcp;
+use crate::edge::tcp::{self, Remote};
 
 /// Time after which an idle connection is no longer reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -222,7 +222,7 @@
         Ok(Err(e)) => return Err(SendError::NotSent(addr, e.to_string())),
         Ok(Ok(stream)) => stream,
     };
-    if let Err(e) = tcp::set_options(&stream) {
+    if let Err(e) = tcp::set_options(&stream, Remote::System) {
         log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
     }
     Ok(stream)
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -148,6 +148,7 @@
         settings.tunnel_addr.port(),
     ));
     let upstream = Arc::new(Upstream::new(crash_sender, Arc::clone(&tunnels)));
+    task::spawn(Arc::clone(&upstream).watch_silence());
     let second_copies = SecondCopies::new(copy_share);
     let parts = [
         &endpoint_limits.reservations,
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -56,6 +56,7 @@
                 timed_as: (!ex.runs_on_engine()).then_some(&*ex.route.name),
                 body: prompt.as_deref().unwrap_or(&ex.body),
                 deadline: ex.deadline,
+                is_repeatable: ex.can_retry(*possible_runs + 1),
                 needs_listed_run: self.needs_listed_run(ex),
                 refused_on: &ex.refused_on,
             };
--- a/kingcupspan/src/gateway/tunnels/mod.rs
+++ b/kingcupspan/src/gateway/tunnels/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::server::serve;
 use crate::{
-    edge::tcp,
+    edge::tcp::{self, Remote},
     gateway::peers::{Peer, Peers},
     http::conn::Conn,
     metrics::opts,
@@ -218,7 +218,7 @@
         let addr = net::SocketAddr::new(peer.addr.ip(), self.port);
         let open = async {
             let stream = TcpStream::connect(addr).await.ok()?;
-            tcp::set_options(&stream).ok()?;
+            tcp::set_options(&stream, Remote::System).ok()?;
             let mut conn = Conn::new(stream);
             conn.write(&encode_request(&endpoint.id)).await.ok()?;
             let head = conn.response_head("CONNECT").await.ok()?;
--- a/kingcupspan/src/gateway/tunnels/server.rs
+++ b/kingcupspan/src/gateway/tunnels/server.rs
@@ -18,7 +18,11 @@
 use kingcupspan_core::gateway::endpoint::InstanceId;
 use socket2::SockRef;
 
-use crate::{edge::tcp, gateway::serve::Gateway, http::conn::Conn};
+use crate::{
+    edge::tcp::{self, Remote},
+    gateway::serve::Gateway,
+    http::conn::Conn,
+};
 
 /// Most tunnels that a daemon has open for its peers.
 const MAX_TUNNELS: usize = 512;
@@ -109,7 +113,7 @@
 /// Serves one tunnel.
 async fn handle(gateway: &Gateway, counter: &Arc<Counter>, stream: TcpStream) {
     // Without the options the tunnel works as well, only a dead peer is noticed late.
-    let _ = tcp::set_options(&stream);
+    let _ = tcp::set_options(&stream, Remote::System);
     let mut conn = Conn::new(stream);
     let Ok(Ok(id)) = future::timeout(REQUEST_TIMEOUT, read_request(&mut conn)).await else {
         return refuse(&mut conn, Refusal::Malformed).await;
@@ -154,7 +158,7 @@
         return Err(Refusal::NotReached);
     };
     // As above.
-    let _ = tcp::set_options(&stream);
+    let _ = tcp::set_options(&stream, Remote::Endpoint);
     Ok(stream)
 }
 
--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -17,7 +17,11 @@
     endpoint_state::{ConnectionId, EndpointConnection, Reach, SentRequest},
     run_check::Run,
 };
-use crate::{edge::tcp, gateway::tunnels::TunnelGuard, http::conn::Conn};
+use crate::{
+    edge::tcp::{self, Remote},
+    gateway::tunnels::TunnelGuard,
+    http::conn::Conn,
+};
 
 /// Timeout for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -31,6 +35,12 @@
 /// How often that time is doubled at most.
 const MAX_DOUBLINGS: u32 = 2;
 
+/// Interval between checks for silent endpoints.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without a byte of an endpoint with requests in flight after which it is looked after.
+const MAX_SILENCE: Duration = Duration::from_millis(350);
+
 /// Number of other endpoints that are tried to find out whether this daemon reaches any.
 const OTHERS_TRIED: usize = 2;
 
@@ -55,7 +65,7 @@
         endpoint: &Endpoint,
     ) -> Result<EndpointConnection, SendError> {
         let is_direct = !self.needs_tunnel(&endpoint.id);
-        self.note_address(endpoint);
+        self.note_endpoint(endpoint);
         if !is_direct && let Some(connection) = self.open_tunnel(endpoint).await {
             return Ok(connection);
         }
@@ -70,11 +80,11 @@
         })
     }
 
-    /// Remembers where an endpoint listens.
-    fn note_address(&self, endpoint: &Endpoint) {
+    /// Remembers an endpoint that is connected to.
+    fn note_endpoint(&self, endpoint: &Endpoint) {
         let mut states = self.states.lock();
         let state = states.entry(endpoint.id.clone()).or_default();
-        state.addr = Some(endpoint.addr);
+        state.endpoint = Some(endpoint.clone());
     }
 
     /// Opens a connection, and asks peers for one if that fails or takes long.
@@ -123,7 +133,7 @@
         let stream = connect
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
-        if let Err(e) = tcp::set_options(&stream) {
+        if let Err(e) = tcp::set_options(&stream, Remote::Endpoint) {
             log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
         }
         Ok(self.new_connection(Conn::new(stream), None))
@@ -220,6 +230,43 @@
         }
     }
 
+    /// Looks after endpoints that have been silent while requests are in flight, until the process
+    /// exits: one that accepts no connection either gets no further requests.
+    pub async fn watch_silence(self: Arc<Self>) {
+        loop {
+            task::sleep(WATCH_INTERVAL).await;
+            for endpoint in self.silent_endpoints() {
+                task::spawn(Arc::clone(&self).check_silent(endpoint));
+            }
+        }
+    }
+
+    /// Endpoints to look after now.
+    fn silent_endpoints(&self) -> Vec<Endpoint> {
+        let mut states = self.states.lock();
+        let silent = states.values_mut().filter(|s| s.is_silent(MAX_SILENCE));
+        let checked = silent.filter_map(|s| {
+            // The next check is due after as long a silence.
+            s.heard_at = Some(Instant::now());
+            s.endpoint.clone()
+        });
+        checked.collect()
+    }
+
+    /// Tries to connect to a silent endpoint; if that fails, requests that may be repeated go
+    /// elsewhere, and the others wait, since the endpoint may go on.
+    async fn check_silent(self: Arc<Self>, endpoint: Endpoint) {
+        let e = match self.connect_directly(&endpoint).await {
+            Ok(connection) => return self.add_idle(&endpoint.id, connection),
+            Err(e) => e,
+        };
+        log::info!(endpoint = &*endpoint.id.0, error = e.to_string().as_str(); "endpoint is silent and accepts no connection");
+        self.mark_suspect(&endpoint, None);
+        if let Some(state) = self.states.lock().get(&endpoint.id) {
+            state.gave_up.notify(usize::MAX);
+        }
+    }
+
     /// Records that an endpoint accepts connections of this daemon.
     fn note_reached(&self, endpoint: &Endpoint, connection: EndpointConnection) {
         let mut states = self.states.lock();
@@ -242,8 +289,9 @@
         }
         if let Some(tunnel) = self.open_tunnel(endpoint).await {
             self.note_not_reached(endpoint, failure);
-            self.add_tunnel(&endpoint.id, tunnel);
-            return;
+            // Requests that ended without a response were not ended by a crash.
+            self.take_unanswered(&endpoint.id);
+            return self.add_idle(&endpoint.id, tunnel);
         }
         if let Some(state) = self.states.lock().get_mut(&endpoint.id) {
             state.reach = Reach::Direct;
@@ -260,12 +308,10 @@
         self.states.lock().get(id).is_some_and(|s| s.is_suspect)
     }
 
-    /// Keeps a tunnel for the next request; those that ended without a response were not ended by
-    /// a crash.
-    fn add_tunnel(&self, id: &InstanceId, tunnel: EndpointConnection) {
+    /// Keeps a new connection for the next request.
+    fn add_idle(&self, id: &InstanceId, connection: EndpointConnection) {
         if let Some(state) = self.states.lock().get_mut(id) {
-            state.unanswered.clear();
-            state.add_idle(tunnel, DEFAULT_IDLE_TIMEOUT);
+            state.add_idle(connection, DEFAULT_IDLE_TIMEOUT);
         }
     }
 
@@ -281,7 +327,7 @@
         let mut others: Vec<(bool, net::SocketAddr)> = {
             let states = self.states.lock();
             let others = states.iter().filter(|(other, _)| *other != id);
-            let addrs = others.filter_map(|(_, s)| Some((s.is_suspect, s.addr?)));
+            let addrs = others.filter_map(|(_, s)| Some((s.is_suspect, s.endpoint.as_ref()?.addr)));
             addrs.collect()
         };
         // Those that are not suspect first.
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -1,12 +1,13 @@
 //! Connections to one endpoint, and what is known of its load and health.
 
 use std::{
-    net,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use event_listener::Event;
 use kingcupspan_core::gateway::{
-    call::RequestId, crash_tracker::Fingerprint, expected_finish::Observation,
+    call::RequestId, crash_tracker::Fingerprint, endpoint::Endpoint, expected_finish::Observation,
     load_report::LoadReport, placement::Load, rate_limit::RequestRate,
 };
 
@@ -79,8 +80,14 @@
     /// Whether a task tries to connect to the endpoint.
     pub(super) is_probed: bool,
 
-    /// Address of the endpoint, once this daemon has connected to it.
-    pub(super) addr: Option<net::SocketAddr>,
+    /// The endpoint, once this daemon has connected to it.
+    pub(super) endpoint: Option<Endpoint>,
+
+    /// When bytes last arrived from the endpoint, or the first request in flight was sent.
+    pub(super) heard_at: Option<Instant>,
+
+    /// Notified when requests that may be repeated are not to wait for the endpoint.
+    pub(super) gave_up: Arc<Event>,
 
     /// How often in a row peers were asked for a connection in vain.
     pub(super) tunnel_failures: u32,
@@ -156,6 +163,13 @@
         Some(self.idle.remove(position))
     }
 
+    /// Whether no byte has arrived for `span` though requests are in flight, and nobody looks after
+    /// the endpoint.
+    pub(super) fn is_silent(&self, span: Duration) -> bool {
+        let is_watched = self.in_flight > 0 && !self.is_probed;
+        is_watched && self.heard_at.is_some_and(|at| at.elapsed() >= span)
+    }
+
     /// Forgets that the endpoint did not accept connections.
     pub(super) fn forget_failure(&mut self) {
         self.reach = Reach::Direct;
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -9,10 +9,13 @@
 
 use std::{
     collections::HashMap,
+    io,
     sync::{Arc, atomic::AtomicU64},
     time::{Duration, Instant},
 };
 
+use event_listener::EventListener;
+use futures_lite::{FutureExt, future};
 use kingcupspan_core::gateway::{
     crash_tracker::Crash,
     endpoint::{Endpoint, InstanceId},
@@ -162,7 +165,12 @@
 
     /// Counts a request as in flight at an endpoint until the returned guard is dropped.
     pub fn track_request(self: &Arc<Self>, id: &InstanceId) -> RequestGuard {
-        self.states.lock().entry(id.clone()).or_default().in_flight += 1;
+        let mut states = self.states.lock();
+        let state = states.entry(id.clone()).or_default();
+        if state.in_flight == 0 {
+            state.heard_at = Some(Instant::now());
+        }
+        state.in_flight += 1;
         RequestGuard {
             upstream: Arc::clone(self),
             id: id.clone(),
@@ -216,6 +224,7 @@
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = out.encode(endpoint, remaining);
+        let gave_up = self.listen_for_giving_up(&endpoint.id);
         let response = async {
             conn.write(&request).await?;
             if out.body.len() > JOINED_BODY_MAX_BYTES {
@@ -223,6 +232,13 @@
             }
             read_response_head(conn, out).await
         };
+        let response = response.or(async {
+            match gave_up.filter(|_| out.is_repeatable) {
+                Some(gave_up) => gave_up.await,
+                None => future::pending().await,
+            }
+            Err(ReadError::Io(io::ErrorKind::TimedOut.into()))
+        });
         let head = match response.await {
             Ok(head) => head,
             Err(e) => {
@@ -232,6 +248,7 @@
                 return Err(SendError::Lost(e.to_string()));
             }
         };
+        self.note_heard(&endpoint.id);
         let info = headers::response_info(&head.headers, head.status);
         self.record_load(&endpoint.id, &info);
         self.record_limit(&endpoint.id, &info);
@@ -251,6 +268,20 @@
         Ok(response)
     }
 
+    /// Listens for the moment from which on requests that may be repeated do not wait for an
+    /// endpoint.
+    fn listen_for_giving_up(&self, id: &InstanceId) -> Option<EventListener> {
+        let states = self.states.lock();
+        states.get(id).map(|s| s.gave_up.listen())
+    }
+
+    /// Records that bytes have arrived from an endpoint.
+    fn note_heard(&self, id: &InstanceId) {
+        if let Some(state) = self.states.lock().get_mut(id) {
+            state.heard_at = Some(Instant::now());
+        }
+    }
+
     /// Takes an idle connection that is still usable and not among `refused_on`.
     async fn take_idle(
         &self,
--- a/kingcupspan/src/gateway/upstream/request.rs
+++ b/kingcupspan/src/gateway/upstream/request.rs
@@ -46,6 +46,9 @@
     /// Time until which the caller waits for the response.
     pub deadline: Instant,
 
+    /// Whether the request may be sent to another endpoint if this one may have run it.
+    pub is_repeatable: bool,
+
     /// Whether only the run of the endpoint that is listed may run the request.
     pub needs_listed_run: bool,
 
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -43,6 +43,7 @@
     pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
         let conn = &mut self.connection.conn;
         let chunk = conn.read_body_chunk(&mut self.head.framing).await;
+        self.upstream.note_heard(&self.endpoint.id);
         if chunk.is_err() {
             self.attempt.fail();
             self.upstream
--- a/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
+++ b/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
@@ -6,6 +6,7 @@
 };
 
 use async_std::task;
+use kingcupspan::edge::tcp::Remote;
 use kingcupspan_platform_standin::{
     caller::{self, Request, Response},
     endpoint::{Endpoint, EndpointBehavior},
@@ -261,6 +262,51 @@
     assert_eq!(linked.fleet.daemons[1].wait_for_exit().await, Some(0));
 }
 
+// Guards against callers who wait for a silent endpoint until its connection is given up, though their
+// request may be repeated elsewhere.
+#[async_std::test]
+async fn repeatable_request_does_not_wait_for_a_silent_endpoint() {
+    let linked = Linked::start("gateway-unreached-silent").await;
+    let [silent, other] = [0, 1].map(|i| Arc::clone(&linked.fleet.service_endpoints[i]));
+    silent.set_behavior(EndpointBehavior::Hangs);
+    let addr = linked.fleet.caller_addr(0);
+    let send = |path: &str, id: String| {
+        let request = Request::plain(path, &id);
+        task::spawn(async move { (caller::send(addr, &request).await, Instant::now()) })
+    };
+    let requests = (0..6).flat_map(|i| {
+        let safe = send("/safe/", format!("safe{i}"));
+        let unsafe_one = send("/unsafe/", format!("unsafe{i}"));
+        [safe, unsafe_one]
+    });
+    let requests: Vec<_> = requests.collect();
+    task::sleep(Duration::from_millis(200)).await;
+    let cut_at = Instant::now();
+    // The second link leads to the first of the service's endpoints.
+    linked.links[1].cut(Cut::Hang).await;
+    let ran_at = |e: &Endpoint, id: &str| e.executed_requests().iter().any(|r| r.id == id);
+    for (n, request) in requests.into_iter().enumerate() {
+        let (i, is_safe) = (n / 2, n % 2 == 0);
+        let (response, ended_at) = request.await;
+        if is_safe {
+            assert_eq!(response.status, 200, "safe{i}: {response:?}");
+            let elapsed = ended_at - cut_at;
+            assert!(
+                elapsed < Remote::Endpoint.max_silence(),
+                "safe{i}: {elapsed:?}"
+            );
+            continue;
+        }
+        let is_at_silent = ran_at(&silent, &format!("unsafe{i}"));
+        assert_ne!(is_at_silent, ran_at(&other, &format!("unsafe{i}")));
+        let expected: &[u16] = if is_at_silent { &[502, 504] } else { &[200] };
+        assert!(
+            expected.contains(&response.status),
+            "unsafe{i}: {response:?}"
+        );
+    }
+}
+
 // Guards against bytes that are lost or held without bound on their way through a peer.
 #[async_std::test]
 async fn large_bodies_pass_through_peers() {
