Pass allocation requests on as a whole, and name steps of a test

The four fields of a request were taken apart in three places and put together again. No behaviour changes. The steps that two tests of unreached endpoints share have names.

--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -154,15 +154,8 @@
     /// Allocates tokens; returns whether a home knows that all allocations of the program are within
     /// the limit. Otherwise this daemon knows enough of them to tell.
     pub async fn allocate(&self, request: &AllocationRequest) -> Result<bool, StoreFailure> {
-        let AllocationRequest {
-            program,
-            id,
-            tokens,
-            stream,
-            ..
-        } = request;
         let message = PeerRequest::Allocate(request.clone());
-        for home in self.homes(program) {
+        for home in self.homes(&request.program) {
             match self.ask(&home, &message).await {
                 Some(PeerResponse::Allocated(AllocationOutcome::Within)) => {
                     self.note_recorded(request);
@@ -170,7 +163,7 @@
                 }
                 Some(PeerResponse::Allocated(AllocationOutcome::Exceeding(others))) => {
                     self.note_recorded(request);
-                    self.partitions.merge_allocations(program, others);
+                    self.partitions.merge_allocations(&request.program, others);
                     return Ok(false);
                 }
                 Some(PeerResponse::Allocated(AllocationOutcome::Unavailable)) => {
@@ -179,51 +172,36 @@
                 _ => {}
             }
         }
-        let allocated = self.allocate_here(program, id, *tokens, stream.as_ref());
-        allocated.await.map(|()| false)
+        self.allocate_here(request).await.map(|()| false)
     }
 
     /// Counts with what a home has recorded for this daemon.
     fn note_recorded(&self, request: &AllocationRequest) {
-        let AllocationRequest {
-            program,
-            id,
-            tokens,
-            stream,
-            ..
-        } = request;
-        self.partitions.note_allocation(program, id, *tokens);
-        if let Some(stream) = stream {
+        let AllocationRequest { program, id, .. } = request;
+        self.partitions.note_allocation(program, id, request.tokens);
+        if let Some(stream) = &request.stream {
             self.partitions.note_stream(id.clone(), stream.clone());
         }
     }
 
     /// Allocates tokens by a call of this daemon.
-    pub async fn allocate_here(
-        &self,
-        program: &ProgramKey,
-        id: &AllocationId,
-        tokens: u64,
-        stream: Option<&StreamRecord>,
-    ) -> Result<(), StoreFailure> {
-        self.partitions.allocate(program, id, tokens, stream).await
+    pub async fn allocate_here(&self, request: &AllocationRequest) -> Result<(), StoreFailure> {
+        let AllocationRequest { program, id, .. } = request;
+        let stream = request.stream.as_ref();
+        let allocated = self
+            .partitions
+            .allocate(program, id, request.tokens, stream);
+        allocated.await
     }
 
     /// Allocates tokens as home of their partition.
     pub async fn allocate_as_home(&self, request: &AllocationRequest) -> AllocationOutcome {
-        let AllocationRequest {
-            program,
-            id,
-            tokens,
-            limit,
-            stream,
-        } = request;
-        let allocated = self.allocate_here(program, id, *tokens, stream.as_ref());
-        if let Err(e) = allocated.await {
+        let program = &request.program;
+        if let Err(e) = self.allocate_here(request).await {
             log::debug!(program = &*program.0, error = e.to_string().as_str(); "cannot allocate tokens for another daemon");
             return AllocationOutcome::Unavailable;
         }
-        match self.partitions.total_allocated(program) <= *limit {
+        match self.partitions.total_allocated(program) <= request.limit {
             true => AllocationOutcome::Within,
             false => AllocationOutcome::Exceeding(self.partitions.allocations_by_daemon(program)),
         }
--- a/kingcupspan/src/gateway/ledger/reservation.rs
+++ b/kingcupspan/src/gateway/ledger/reservation.rs
@@ -67,22 +67,20 @@
     /// All allocations of the program together may have `limit` tokens; returns whether a home knows
     /// that they have no more.
     pub(super) async fn allocate(&mut self, limit: u64) -> Result<bool, StoreFailure> {
-        let homes = &self.ledger.homes;
-        let (program, id) = (&self.program, &self.id);
-        if self.progress != Progress::New {
-            let stream = self.stream.as_ref();
-            let allocated = homes.allocate_here(program, id, self.max_tokens, stream);
-            return allocated.await.map(|()| false);
-        }
-        self.ledger.note_allocation(program, id, self.max_tokens);
-        self.progress = Progress::Requested;
         let request = AllocationRequest {
-            program: program.clone(),
-            id: id.clone(),
+            program: self.program.clone(),
+            id: self.id.clone(),
             tokens: self.max_tokens,
             limit,
             stream: self.stream.clone(),
         };
+        let homes = &self.ledger.homes;
+        if self.progress != Progress::New {
+            return homes.allocate_here(&request).await.map(|()| false);
+        }
+        self.ledger
+            .note_allocation(&self.program, &self.id, self.max_tokens);
+        self.progress = Progress::Requested;
         homes.allocate(&request).await
     }
 
--- a/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
+++ b/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
@@ -110,6 +110,29 @@
         }
     }
 
+    /// Cuts the links while a request is in flight at an endpoint of a service.
+    async fn lose_request_in_flight(&self) {
+        for endpoint in &self.fleet.service_endpoints {
+            endpoint.set_behavior(EndpointBehavior::Hangs);
+        }
+        let request = Request::plain("/safe/", "in flight");
+        let in_flight = self.fleet.send(0, &request);
+        let cut = async {
+            task::sleep(Duration::from_millis(100)).await;
+            self.cut(Cut::Reset).await;
+        };
+        futures_lite::future::zip(in_flight, cut).await;
+        task::sleep(ADAPT_TIME).await;
+    }
+
+    /// Checks that none of these daemons has reported a crash.
+    fn assert_no_crash(&self, daemons: &[usize]) {
+        for &daemon in daemons {
+            let log = self.fleet.log(daemon);
+            assert!(!log.contains("endpoint crashed"), "{log}");
+        }
+    }
+
     /// Number of times that services have run a request.
     fn runs(&self, id: &str) -> usize {
         let endpoints = self.fleet.service_endpoints.iter();
@@ -171,21 +194,8 @@
 #[async_std::test]
 async fn endpoint_that_is_not_reached_has_not_crashed() {
     let linked = Linked::start("gateway-unreached-crash").await;
-    for endpoint in &linked.fleet.service_endpoints {
-        endpoint.set_behavior(EndpointBehavior::Hangs);
-    }
-    let request = Request::plain("/safe/", "in flight");
-    let in_flight = linked.fleet.send(0, &request);
-    let cut = async {
-        task::sleep(Duration::from_millis(100)).await;
-        linked.cut(Cut::Reset).await;
-    };
-    futures_lite::future::zip(in_flight, cut).await;
-    task::sleep(ADAPT_TIME).await;
-    for daemon in 0..4 {
-        let log = linked.fleet.log(daemon);
-        assert!(!log.contains("endpoint crashed"), "{log}");
-    }
+    linked.lose_request_in_flight().await;
+    linked.assert_no_crash(&[0, 1, 2, 3]);
 }
 
 // Guards against the same if all daemons that are left are cut off.
@@ -195,21 +205,8 @@
     for daemon in [1, 3] {
         linked.fleet.daemons[daemon].kill();
     }
-    for endpoint in &linked.fleet.service_endpoints {
-        endpoint.set_behavior(EndpointBehavior::Hangs);
-    }
-    let request = Request::plain("/safe/", "in flight");
-    let in_flight = linked.fleet.send(0, &request);
-    let cut = async {
-        task::sleep(Duration::from_millis(100)).await;
-        linked.cut(Cut::Reset).await;
-    };
-    futures_lite::future::zip(in_flight, cut).await;
-    task::sleep(ADAPT_TIME).await;
-    for daemon in [0, 2] {
-        let log = linked.fleet.log(daemon);
-        assert!(!log.contains("endpoint crashed"), "{log}");
-    }
+    linked.lose_request_in_flight().await;
+    linked.assert_no_crash(&[0, 2]);
 }
 
 // Guards against a request that runs twice, or is said not to have run, since the peer through which
