Look at other endpoints only before a crash is reported

Each probe of a suspect endpoint connected to another one as well, also if no request was lost; new connections cost endpoints time. Found by reading.

--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -141,8 +141,7 @@
 
     /// Asks peers for a connection, unless they have lately not got one.
     async fn open_tunnel(&self, endpoint: &Endpoint) -> Option<EndpointConnection> {
-        let pause = |states: &super::States| states.get(&endpoint.id)?.no_tunnel_until;
-        if pause(&self.states.lock()).is_some_and(|until| Instant::now() < until) {
+        if self.is_tunnel_paused(&endpoint.id) {
             return None;
         }
         match self.tunnels.open(endpoint).await {
@@ -159,6 +158,13 @@
         }
     }
 
+    /// Whether peers have lately not got a connection to an endpoint.
+    fn is_tunnel_paused(&self, id: &InstanceId) -> bool {
+        let states = self.states.lock();
+        let until = states.get(id).and_then(|s| s.no_tunnel_until);
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Numbers a new connection.
     fn new_connection(&self, conn: Conn, tunnel: Option<TunnelGuard>) -> EndpointConnection {
         EndpointConnection {
@@ -297,7 +303,7 @@
             state.reach = Reach::Direct;
         }
         // A daemon that reaches no endpoint at all, and has asked others like it, knows nothing yet.
-        if self.reaches_others(&endpoint.id).await {
+        if self.has_unanswered(&endpoint.id) && self.reaches_others(&endpoint.id).await {
             let unanswered = self.take_unanswered(&endpoint.id);
             self.report_crash(endpoint, unanswered);
         }
@@ -308,6 +314,12 @@
         self.states.lock().get(id).is_some_and(|s| s.is_suspect)
     }
 
+    /// Whether requests to an endpoint had no complete response since it last accepted a connection.
+    fn has_unanswered(&self, id: &InstanceId) -> bool {
+        let states = self.states.lock();
+        states.get(id).is_some_and(|s| !s.unanswered.is_empty())
+    }
+
     /// Keeps a new connection for the next request.
     fn add_idle(&self, id: &InstanceId, connection: EndpointConnection) {
         if let Some(state) = self.states.lock().get_mut(id) {
