--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -72,14 +72,23 @@
 
     /// Starts a fleet whose store takes so few appends that the daemons share them.
     pub async fn start_with_few_appends(name: &str, daemons: usize, timeout_ms: u64) -> Self {
+        let configuration = settings::configuration(1, timeout_ms);
+        Self::start_configured_with_few_appends(name, daemons, &configuration).await
+    }
+
+    /// Starts such a fleet with a configuration of its own.
+    pub async fn start_configured_with_few_appends(
+        name: &str,
+        daemons: usize,
+        configuration: &serde_json::Value,
+    ) -> Self {
         let store = Arc::new(Store::default());
         let servers = [Arc::clone(&store)];
-        let configuration = settings::configuration(1, timeout_ms);
         let appends_per_s = FEW_APPENDS_PER_S * daemons as u32;
         let edit = |settings: &mut serde_json::Value| {
             settings["platform"]["writes_per_s"] = appends_per_s.into();
         };
-        Self::start_configured(name, store, &servers, daemons, &configuration, &edit).await
+        Self::start_configured(name, store, &servers, daemons, configuration, &edit).await
     }
 
     /// Starts a daemon whose VM has the given limits.
--- a/kingcupspan/tests/gateway_endpoints/continued_streams.rs
+++ b/kingcupspan/tests/gateway_endpoints/continued_streams.rs
@@ -34,6 +34,18 @@
     async fn start(name: &str, daemons: usize) -> Self {
         let configuration = settings::with_resumable_route(settings::configuration(1, 4_000));
         let fleet = Fleet::start_with_configuration(name, daemons, &configuration).await;
+        Self::add_engines(fleet).await
+    }
+
+    /// Starts a fleet whose daemons leave the calls for a program to one of them.
+    async fn start_with_homes(name: &str, daemons: usize) -> Self {
+        let configuration = settings::with_resumable_route(settings::configuration(1, 4_000));
+        let start = Fleet::start_configured_with_few_appends(name, daemons, &configuration);
+        Self::add_engines(start.await).await
+    }
+
+    /// Starts the other engines.
+    async fn add_engines(fleet: Fleet) -> Self {
         fleet.engine.set_behavior(BREAKS_OFF);
         let mut engines = vec![(Arc::clone(&fleet.engine), settings::ENDPOINT_VERSION)];
         for (id, version) in [("e2", "v1"), ("e3", "v2"), ("e4", "v2")] {
@@ -151,6 +163,38 @@
     assert!(versions.fleet.metric(0, "outcome=\"goes on\"").await > 0);
 }
 
+// Guards against the same in large fleets, whose daemons do not read the records of all programs.
+#[async_std::test]
+async fn stream_goes_on_at_its_version_in_a_fleet_with_homes() {
+    const DAEMONS: usize = 6;
+    let mut versions = Versions::start_with_homes("gateway-continued-homes", DAEMONS).await;
+    let mut begun = Vec::new();
+    for i in 0..18 {
+        let (program, first) = (format!("p{i}"), format!("first{i}"));
+        begun.push(versions.begin(i % DAEMONS, &begin(&program, &first)).await);
+    }
+    for round in ["before", "after"] {
+        for (i, (engine, version)) in begun.iter().enumerate() {
+            let second = format!("{round}{i}");
+            let request = go_on(&format!("p{i}"), &second, &format!("first{i}"));
+            let daemon = (i + 1 + i / DAEMONS) % DAEMONS;
+            let response = versions.send_without(engine, daemon, &request).await;
+            versions.assert_goes_on(&response, &second, version);
+        }
+        if round == "before" {
+            let mut asked = 0;
+            for daemon in 0..DAEMONS {
+                asked += versions
+                    .fleet
+                    .peer_request_count(daemon, "find stream")
+                    .await;
+            }
+            assert!(asked > 0);
+            versions.kill_all_daemons().await;
+        }
+    }
+}
+
 // Guards against the same for requests that belong to no program.
 #[async_std::test]
 async fn continued_stream_of_no_program_stays_at_the_version_that_began_it() {
