--- a/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
+++ b/kingcupspan/tests/gateway_endpoints/unreached_endpoints.rs
@@ -26,19 +26,39 @@
 /// Longest time of a request that is served, of which the endpoint takes next to nothing.
 const REQUEST_TIME: Duration = Duration::from_millis(500);
 
-/// A fleet of four daemons, of which the first and the third reach the endpoints over links that can
-/// be cut.
+/// Requests that may be repeated, that may not, and that are turns, by their ids.
+const KINDS: [fn(&str) -> Request; 3] = [
+    |id| Request::plain("/safe/", &format!("safe-{id}")),
+    |id| Request::plain("/unsafe/", &format!("unsafe-{id}")),
+    |id| Request::turn(&format!("p-{id}"), &format!("turn-{id}"), None, 1_000),
+];
+
+/// Behavior of the engine, whose turns take so long that ten at a time need ten connections.
+const STREAM: EndpointBehavior = EndpointBehavior::Stream {
+    events: 2,
+    pause: Duration::from_millis(40),
+};
+
+/// A fleet of which some daemons reach the endpoints over links that can be cut.
 struct Linked {
     fleet: Fleet,
     links: Vec<Link>,
 }
 
 impl Linked {
+    /// Starts four daemons, of which the first and the third have links.
     async fn start(name: &str) -> Self {
+        Self::start_with(name, 4, 2).await
+    }
+
+    /// Starts daemons of which each `nth` one has links, beginning with the first.
+    async fn start_with(name: &str, daemons: usize, nth: usize) -> Self {
         let store = Arc::new(Store::default());
         let with_links = store.with_shared_records();
-        let servers = [Arc::clone(&with_links), Arc::clone(&store)];
-        let fleet = Fleet::start_on(name, store, &servers, 4, 3_000).await;
+        let mut servers = vec![Arc::clone(&store); nth];
+        servers[0] = Arc::clone(&with_links);
+        let fleet = Fleet::start_on(name, store, &servers, daemons, 3_000).await;
+        fleet.engine.set_behavior(STREAM);
         let mut links = Vec::new();
         for id in ["e1", "p1", "p2"] {
             let addr = (process::unique_loopback_address(), 8080).into();
@@ -56,8 +76,8 @@
             endpoint.drop_connections();
         }
         let linked = Self { fleet, links };
-        for daemon in 0..4 {
-            linked.assert_serves(daemon, "before").await;
+        for daemon in 0..daemons {
+            linked.open_connections(daemon).await;
         }
         linked
     }
@@ -77,26 +97,31 @@
     /// Sends requests of each kind to a daemon, ten at a time, which need more connections than
     /// are open; returns the responses with the time of each.
     async fn send_each_kind(&self, daemon: usize, label: &str) -> Vec<(Response, Duration)> {
-        let ids: Vec<String> = (0..10).map(|i| format!("{label}-{daemon}-{i}")).collect();
+        let addr = self.fleet.caller_addr(daemon);
+        let send = |request: Request| async move {
+            let sent_at = Instant::now();
+            (caller::send(addr, &request).await, sent_at.elapsed())
+        };
         let mut responses = Vec::new();
-        for request in [
-            |id: &str| Request::plain("/safe/", &format!("safe-{id}")),
-            |id: &str| Request::plain("/unsafe/", &format!("unsafe-{id}")),
-            |id: &str| Request::turn(&format!("p-{id}"), &format!("turn-{id}"), None, 1_000),
-        ] {
-            let addr = self.fleet.caller_addr(daemon);
-            let send = |request: Request| async move {
-                let sent_at = Instant::now();
-                (caller::send(addr, &request).await, sent_at.elapsed())
-            };
-            let sent = ids.iter().map(|id| task::spawn(send(request(id))));
-            for response in sent.collect::<Vec<_>>() {
+        for kind in KINDS {
+            let requests = (0..10).map(|i| kind(&format!("{label}-{daemon}-{i}")));
+            let sent: Vec<_> = requests.map(|r| task::spawn(send(r))).collect();
+            for response in sent {
                 responses.push(response.await);
             }
         }
         responses
     }
 
+    /// Sends a request of each kind to a daemon, one after the other.
+    async fn open_connections(&self, daemon: usize) {
+        for kind in KINDS {
+            let request = kind(&format!("first-{daemon}"));
+            let response = self.fleet.send(daemon, &request).await;
+            assert_eq!(response.status, 200, "{response:?}");
+        }
+    }
+
     /// Checks that a daemon serves all requests, each once and in time.
     async fn assert_serves(&self, daemon: usize, label: &str) {
         for (response, elapsed) in self.send_each_kind(daemon, label).await {
@@ -189,6 +214,19 @@
     linked.assert_outlives(Cut::RefuseNew).await;
 }
 
+// Guards against daemons of a failure domain that is cut off as a whole and ask only each other.
+#[async_std::test]
+async fn callers_are_served_while_a_failure_domain_reaches_no_endpoint() {
+    let daemons = 7;
+    // There are three failure domains, which the daemons are assigned to in rotation.
+    let linked = Linked::start_with("gateway-unreached-domain", daemons, 3).await;
+    linked.cut(Cut::Reset).await;
+    for daemon in [0, 3, 6] {
+        linked.send_each_kind(daemon, "learn").await;
+        linked.assert_serves(daemon, "cut").await;
+    }
+}
+
 // Guards against a crash that is reported of endpoints which this daemon just does not reach: the
 // requests that it had in flight would be refused everywhere.
 #[async_std::test]
