Keep the version of a stream for as long as its callers may come back

Cause: records were forgotten after two minutes, whatever the timeout of their route. A stream of a route with a longer one was refused when it was continued late; on routes of a few seconds records took memory for nothing. Found by reading, not seen. Change: four times the timeout of the route, 30 s at least. Test: records_outlast_all_attempts_of_their_route.

--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -11,7 +11,7 @@
     crash_tracker::Fingerprint,
     endpoint::{Endpoint, InstanceId, SoftwareVersion},
     routing::RouteKind,
-    stream_origin::{Knowledge, Origin, StreamName, StreamRecord},
+    stream_origin::{self, Knowledge, Origin, StreamName, StreamRecord},
     workspace,
 };
 
@@ -48,6 +48,7 @@
             },
             replaces_since: None,
             place: self.partitions.next_stream_place(&key),
+            retention: stream_origin::retention(ex.route.timeout),
         };
         ex.stream_version = Some(StreamVersion::Begun(record));
         Ok(())
--- a/kingcupspan_core/src/gateway/stream_origin.rs
+++ b/kingcupspan_core/src/gateway/stream_origin.rs
@@ -6,7 +6,10 @@
 //! record that exists is all that permits a continuation: where it cannot be found, nobody knows
 //! whether the version is the right one.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -16,9 +19,12 @@
 };
 use crate::id::WallMs;
 
-/// Time for which a stream may be continued after it was begun, in milliseconds; callers give
-/// up much earlier.
-const RETENTION_MS: u64 = 120_000;
+/// Shortest time for which a stream may be continued after it was begun.
+const MIN_RETENTION: Duration = Duration::from_secs(30);
+
+/// Number of attempts, each of which may last as long as its route allows, in which a stream may be
+/// continued.
+const ATTEMPTS: u32 = 4;
 
 /// Where a stream was begun.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +56,15 @@
     /// Which of the daemon's places in the store the record takes; the store keeps the newest
     /// record of each place.
     pub place: u32,
+
+    /// Time for which the stream may be continued.
+    pub retention: Duration,
+}
+
+/// Returns the time for which a stream of a route may be continued after it was begun; an attempt
+/// lasts for `timeout` at most.
+pub fn retention(timeout: Duration) -> Duration {
+    MIN_RETENTION.max(timeout.saturating_mul(ATTEMPTS))
 }
 
 /// How a stream is named that is to be continued.
@@ -87,7 +102,7 @@
 impl StreamOrigins {
     /// Adds a record; records may arrive in any order and more than once.
     pub fn insert(&mut self, id: AllocationId, record: StreamRecord, now: WallMs) {
-        if is_expired(&id, now) {
+        if is_expired(&id, &record, now) {
             return;
         }
         let attempts = self.attempts.entry(record.content).or_default();
@@ -120,7 +135,7 @@
     /// Forgets streams that nobody continues any more.
     pub fn expire(&mut self, now: WallMs) {
         self.records.retain(|_, records| {
-            records.retain(|(id, _)| !is_expired(id, now));
+            records.retain(|(id, record)| !is_expired(id, record, now));
             !records.is_empty()
         });
         let records = &self.records;
@@ -157,6 +172,7 @@
 }
 
 /// Whether a record is too old to be of use.
-fn is_expired(id: &AllocationId, now: WallMs) -> bool {
-    id.made_at.0 + RETENTION_MS < now.0
+fn is_expired(id: &AllocationId, record: &StreamRecord, now: WallMs) -> bool {
+    let retention_ms = record.retention.as_millis() as u64;
+    id.made_at.0.saturating_add(retention_ms) < now.0
 }
--- a/kingcupspan_core/tests/gateway/stream_origin.rs
+++ b/kingcupspan_core/tests/gateway/stream_origin.rs
@@ -1,10 +1,12 @@
 //! Tests of what is known of the version that began a stream.
 
+use std::time::Duration;
+
 use kingcupspan_core::{
     gateway::{
         allocation::AllocationId,
         crash_tracker::Fingerprint,
-        stream_origin::{Knowledge, Origin, StreamName, StreamOrigins, StreamRecord},
+        stream_origin::{self, Knowledge, Origin, StreamName, StreamOrigins, StreamRecord},
     },
     id::WallMs,
 };
@@ -12,6 +14,8 @@
 
 const NOW: WallMs = WallMs(1_000_000);
 
+const RETENTION: Duration = Duration::from_millis(120_000);
+
 fn origin(version: &str) -> Origin {
     Origin {
         service: "s".into(),
@@ -41,6 +45,7 @@
         origin: origin(version),
         replaces_since: replaces_since.map(made_at),
         place: 0,
+        retention: RETENTION,
     };
     (id, record)
 }
@@ -118,6 +123,15 @@
     );
 }
 
+// Guards against a long stream whose record is forgotten while its callers may still continue it.
+#[test]
+fn records_outlast_all_attempts_of_their_route() {
+    for (timeout_s, expected_s) in [(0, 30), (3, 30), (10, 40), (600, 2_400)] {
+        let kept_for = stream_origin::retention(Duration::from_secs(timeout_s));
+        assert_eq!(kept_for, Duration::from_secs(expected_s));
+    }
+}
+
 #[test]
 fn old_records_are_forgotten() {
     let mut origins = StreamOrigins::default();
