Failing tests: a response that ends with a killed process looks complete

Callers saw 200 with a length and a part of the body (MIXED). Shown here on the untouched logic: the peer through which the response came, or the endpoint itself, is killed, and the end of its connection passes for the end of a body without a length.

The fleet with links moves to a module of its own, for both files of tests.

--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -9,4 +9,7 @@
 mod process;
 
 mod continued_streams;
+mod ended_peers;
+mod ended_processes;
+mod linked;
 mod unreached_endpoints;
