Log how a response has reached its daemon

The log could not tell the hypotheses apart: whether the endpoint framed its response by a length, by chunks or by the end of its connection, and whether it came through a peer. 'request finished' now has it as 'delivery'. With it the killed peer of ended_peers.rs reads 'until close, through vm-3' for the requests that were answered with a part.

--- a/kingcupspan/src/gateway/exchange.rs
+++ b/kingcupspan/src/gateway/exchange.rs
@@ -22,7 +22,10 @@
 
 use crate::{
     gateway::{
-        connectivity::Connectivity, ledger::Reservation, shutdown::Shutdown, upstream::ConnectionId,
+        connectivity::Connectivity,
+        ledger::Reservation,
+        shutdown::Shutdown,
+        upstream::{ConnectionId, Delivery},
     },
     http::head::RequestHead,
 };
@@ -96,6 +99,9 @@
     /// The endpoint that the request was last sent to.
     pub last_endpoint: Option<Arc<Endpoint>>,
 
+    /// How the last response has reached this daemon.
+    pub delivery: Option<Delivery>,
+
     /// Connections on which endpoints have refused the request.
     pub refused_on: Vec<ConnectionId>,
 
--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -26,6 +26,7 @@
         rejections::Rejection,
         serve::{Gateway, Outcome},
         shutdown::InFlightGuard,
+        upstream::Delivery,
     },
     http::{
         conn::{Conn, ReadError},
@@ -255,6 +256,9 @@
     /// The endpoint that the request was last sent to.
     endpoint: Option<Arc<Endpoint>>,
 
+    /// How the last response has reached this daemon.
+    delivery: Option<Delivery>,
+
     /// Stream that the request continues, if it continues one.
     continues: Option<ContinuedStream>,
 }
@@ -264,6 +268,7 @@
         Self {
             route: ex.route.name.clone(),
             endpoint: ex.last_endpoint.clone(),
+            delivery: ex.delivery.clone(),
             continues: ex.info.continues.clone(),
         }
     }
@@ -289,14 +294,16 @@
     let route = served.route.as_str();
     let endpoint = served.endpoint.as_ref().map_or("", |e| &*e.id.0);
     let version = served.endpoint.as_ref().map_or("", |e| &*e.version.0);
+    let delivery = served.delivery.as_ref().map(Delivery::to_string);
+    let delivery = delivery.as_deref().unwrap_or_default();
     let ms = duration.as_millis() as u64;
     match &served.continues {
         None => {
-            log::info!(request = id, route, endpoint, version, status, reason = reason.as_str(), ms; "request finished");
+            log::info!(request = id, route, endpoint, version, delivery, status, reason = reason.as_str(), ms; "request finished");
         }
         Some(stream) => {
             let continues = stream.to_string();
-            log::info!(request = id, continues = continues.as_str(), route, endpoint, version, status, reason = reason.as_str(), ms; "request finished");
+            log::info!(request = id, continues = continues.as_str(), route, endpoint, version, delivery, status, reason = reason.as_str(), ms; "request finished");
         }
     }
 }
--- a/kingcupspan/src/gateway/serve/mod.rs
+++ b/kingcupspan/src/gateway/serve/mod.rs
@@ -245,6 +245,7 @@
             stream_recording: None,
             progress: Progress::NotSent,
             last_endpoint: None,
+            delivery: None,
             refused_on: Vec::new(),
         })
     }
@@ -309,6 +310,7 @@
         let mut possible_runs = 0;
         loop {
             let (response, request_guard) = self.send(ex, &mut possible_runs).await?;
+            ex.delivery = Some(response.delivery());
             if ex.is_body_done(possible_runs) {
                 let body = std::mem::take(&mut ex.body);
                 // Returning bytes always succeeds.
--- a/kingcupspan/src/gateway/tunnels/mod.rs
+++ b/kingcupspan/src/gateway/tunnels/mod.rs
@@ -126,6 +126,11 @@
 }
 
 impl TunnelGuard {
+    /// VM of the peer.
+    pub fn vm(&self) -> &str {
+        &self.vm
+    }
+
     /// Time for which further requests may be sent through the tunnel.
     pub fn remaining_lifetime(&self) -> Duration {
         LIFETIME.saturating_sub(self.opened_at.elapsed())
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -28,7 +28,9 @@
 use parking_lot::Mutex;
 
 pub use self::{
-    endpoint_state::ConnectionId, request::OutgoingRequest, response::EndpointResponse,
+    endpoint_state::ConnectionId,
+    request::OutgoingRequest,
+    response::{Delivery, EndpointResponse},
 };
 use self::{
     endpoint_state::{EndpointConnection, EndpointState, Reach, SentRequest},
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -1,6 +1,6 @@
 //! Response of an endpoint while its body is read.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use kingcupspan_core::gateway::endpoint::Endpoint;
 use kingcupspan_platform::headers::ResponseInfo;
@@ -10,7 +10,30 @@
     endpoint_state::{ConnectionId, EndpointConnection, SentRequest},
     health::Attempt,
 };
-use crate::http::{conn::ReadError, head::ResponseHead};
+use crate::http::{conn::ReadError, framing::Framing, head::ResponseHead};
+
+/// How the response of an endpoint has reached this daemon, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delivery {
+    framing: Framing,
+
+    /// VM of the peer through which the response came.
+    peer: Option<String>,
+}
+
+impl fmt::Display for Delivery {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self.framing {
+            Framing::Length(_) => "length",
+            Framing::Chunked(_) => "chunks",
+            Framing::UntilClose => "until close",
+        })?;
+        match &self.peer {
+            Some(vm) => write!(f, ", through {vm}"),
+            None => Ok(()),
+        }
+    }
+}
 
 /// A response of an endpoint whose body has not been read yet.
 pub struct EndpointResponse {
@@ -34,6 +57,15 @@
         self.info.is_signed || !(200..300).contains(&self.head.status)
     }
 
+    /// Returns how the response reaches this daemon.
+    pub fn delivery(&self) -> Delivery {
+        let tunnel = self.connection.tunnel.as_ref();
+        Delivery {
+            framing: self.head.framing.clone(),
+            peer: tunnel.map(|t| t.vm().to_owned()),
+        }
+    }
+
     /// Returns the connection on which the response arrived.
     pub fn connection_id(&self) -> ConnectionId {
         self.connection.id
