Tunnels: the end of a peer's process is not that of the endpoint

Callers saw 200 with a length and a part of the body, of requests that may be repeated and of others, when the daemon through which their daemon reached the endpoint was killed.

Cause: a peer passed bare bytes on, and the kernel closes the sockets of a killed process in order. A body with neither length nor chunks ends with its connection, so the end of the peer passed for that of the endpoint. Its class: the end of a process in between is taken for a message of the far one.

Ruled out: a reset that the peer sends (only where it ends a tunnel itself; a kill sends none), an error told to the other direction of the tunnel (both directions are polled by one task, and the first that ends by an error resets both).

What an endpoint sends now comes in chunks, and the last one says that the endpoint has closed its connection in order; an end without it is an error. Asked for and agreed by a header: former versions pass bare bytes on, and for them this one sets their connection to be reset if its process ends. ReadError moves to a file of its own.

--- a/kingcupspan/src/gateway/tunnels/mod.rs
+++ b/kingcupspan/src/gateway/tunnels/mod.rs
@@ -4,6 +4,10 @@
 //! proxy that is asked to `CONNECT`. All decisions on the request stay with the daemon that has it
 //! from the caller: its quota, its tokens, the version of its stream, and whether it may have run.
 //! A peer opens only direct connections, so a tunnel never has a second hop.
+//!
+//! What the endpoint sends comes in chunks, and the last one says that the endpoint has closed its
+//! connection: where the peer's process ends, its connections may look as if they were closed in
+//! order. Daemons of former versions pass bare bytes on.
 
 mod server;
 
@@ -16,6 +20,7 @@
 
 use async_std::{future, net::TcpStream};
 use kingcupspan_core::gateway::endpoint::{Endpoint, InstanceId};
+use kingcupspan_platform::headers::HeaderLookup;
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 
@@ -23,7 +28,7 @@
 use crate::{
     edge::tcp::{self, Remote},
     gateway::peers::{Peer, Peers},
-    http::conn::Conn,
+    http::{conn::Conn, head::Headers},
     metrics::opts,
 };
 
@@ -53,6 +58,12 @@
 /// Status of a peer that has tried in vain to open the connection.
 const NOT_REACHED: u16 = 502;
 
+/// Header with which a daemon asks for framing of what the endpoint sends, and a peer agrees.
+const FRAMING_HEADER: &str = "x-tunnel-framing";
+
+/// Value of that header: HTTP chunks.
+const CHUNKED: &str = "chunked";
+
 /// Reason why there is no tunnel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum TunnelError {
@@ -227,6 +238,9 @@
             let mut conn = Conn::new(stream);
             conn.write(&encode_request(&endpoint.id)).await.ok()?;
             let head = conn.response_head("CONNECT").await.ok()?;
+            if has_framing(&head.headers) {
+                conn.decode_chunks();
+            }
             Some((head.status, conn))
         };
         match future::timeout(OPEN_TIMEOUT, open).await {
@@ -267,5 +281,13 @@
 
 /// Encodes the request for a connection to an endpoint, which the peer looks up in its own list.
 fn encode_request(endpoint: &InstanceId) -> Vec<u8> {
-    format!("CONNECT {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n\r\n").into_bytes()
+    format!(
+        "CONNECT {endpoint} HTTP/1.1\r\nHost: {endpoint}\r\n{FRAMING_HEADER}: {CHUNKED}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+/// Whether a request or a response speaks of framing.
+fn has_framing(headers: &Headers) -> bool {
+    headers.get(FRAMING_HEADER) == Some(CHUNKED)
 }
--- a/kingcupspan/src/gateway/tunnels/server.rs
+++ b/kingcupspan/src/gateway/tunnels/server.rs
@@ -18,10 +18,11 @@
 use kingcupspan_core::gateway::endpoint::InstanceId;
 use socket2::SockRef;
 
+use super::{CHUNKED, FRAMING_HEADER};
 use crate::{
     edge::tcp::{self, Remote},
     gateway::serve::Gateway,
-    http::conn::Conn,
+    http::{conn::Conn, framed},
 };
 
 /// Most tunnels that a daemon has open for its peers.
@@ -46,6 +47,9 @@
 /// Size of the buffer of each direction, in bytes.
 const BUFFER_BYTES: usize = 8 * 1024;
 
+/// Most bytes of a chunk of that size beside its data.
+const CHUNK_HEAD_BYTES: usize = 8;
+
 /// Counts the tunnels that are open for peers.
 #[derive(Default)]
 struct Counter(AtomicUsize);
@@ -96,6 +100,34 @@
     }
 }
 
+/// How what the endpoint sends is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// In chunks, of which the last one follows when the endpoint has closed its connection.
+    Chunked,
+
+    /// As it is, for daemons of former versions.
+    Bare,
+}
+
+impl Framing {
+    /// Returns the response to a request for a tunnel that is open.
+    fn accepted(self) -> String {
+        match self {
+            Self::Chunked => format!("HTTP/1.1 200 OK\r\n{FRAMING_HEADER}: {CHUNKED}\r\n\r\n"),
+            Self::Bare => "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        }
+    }
+}
+
+/// A request of a peer.
+struct TunnelRequest {
+    /// The endpoint that the peer wants to reach.
+    id: InstanceId,
+
+    framing: Framing,
+}
+
 /// Serves peers until the task is cancelled.
 pub async fn serve(listener: TcpListener, gateway: Arc<Gateway>) {
     let counter = Arc::default();
@@ -115,7 +147,8 @@
     // Without the options the tunnel works as well, only a dead peer is noticed late.
     let _ = tcp::set_options(&stream, Remote::System);
     let mut conn = Conn::new(stream);
-    let Ok(Ok(id)) = future::timeout(REQUEST_TIMEOUT, read_request(&mut conn)).await else {
+    let request = future::timeout(REQUEST_TIMEOUT, read_request(&mut conn)).await;
+    let Ok(Ok(TunnelRequest { id, framing })) = request else {
         return refuse(&mut conn, Refusal::Malformed).await;
     };
     let Some(_slot) = Slot::take(counter).filter(|_| !gateway.shutdown.is_stopping()) else {
@@ -127,20 +160,31 @@
     };
     // A graceful shutdown waits for the requests of peers.
     let _in_flight = gateway.shutdown.track_request();
-    if conn.write(b"HTTP/1.1 200 OK\r\n\r\n").await.is_ok() {
+    if conn.write(framing.accepted().as_bytes()).await.is_ok() {
         let peer = conn.stream().clone();
-        pass_on(peer, conn.unread(), endpoint).await;
+        if framing == Framing::Bare {
+            // Also if this process is killed: the end must not pass for that of the endpoint.
+            reset_on_close(&peer);
+        }
+        pass_on(peer, conn.unread(), endpoint, framing).await;
     }
 }
 
-/// Reads which endpoint a peer wants to reach.
-async fn read_request(conn: &mut Conn) -> Result<InstanceId, Refusal> {
+/// Reads which endpoint a peer wants to reach, and how.
+async fn read_request(conn: &mut Conn) -> Result<TunnelRequest, Refusal> {
     let head = conn.request_head(REQUEST_MAX_BYTES).await;
     let head = head.map_err(|_| Refusal::Malformed)?;
-    match head.method.as_str() {
-        "CONNECT" => Ok(head.target.as_str().into()),
-        _ => Err(Refusal::Malformed),
+    if head.method != "CONNECT" {
+        return Err(Refusal::Malformed);
     }
+    let framing = match super::has_framing(&head.headers) {
+        true => Framing::Chunked,
+        false => Framing::Bare,
+    };
+    Ok(TunnelRequest {
+        id: head.target.as_str().into(),
+        framing,
+    })
 }
 
 /// Opens a connection to an endpoint, never through another daemon.
@@ -173,7 +217,7 @@
 ///
 /// What ends in order at the endpoint ends in order at the peer, and what is reset is reset: a
 /// response may end with its connection. A peer that closes has given the request up.
-async fn pass_on(peer: TcpStream, sent: &[u8], endpoint: TcpStream) {
+async fn pass_on(peer: TcpStream, sent: &[u8], endpoint: TcpStream, framing: Framing) {
     let requests = async {
         let mut to = &endpoint;
         let result = match to.write_all(sent).await {
@@ -182,10 +226,17 @@
         };
         (Side::Peer, result)
     };
-    let responses = async { (Side::Endpoint, copy(&endpoint, &peer).await) };
+    let responses = async {
+        let result = match framing {
+            Framing::Chunked => copy_in_chunks(&endpoint, &peer).await,
+            Framing::Bare => copy(&endpoint, &peer).await,
+        };
+        (Side::Endpoint, result)
+    };
     let (side, result) = requests.or(responses).await;
     match (side, result) {
         (Side::Endpoint, Ok(())) => {
+            close_in_order(&peer);
             // The peer may have gone.
             let _ = peer.shutdown(net::Shutdown::Write);
             let _ = future::timeout(DISCARD_TIMEOUT, discard(&peer)).await;
@@ -216,12 +267,31 @@
     }
 }
 
+/// Copies bytes in chunks until `from` is closed in order, and marks that.
+async fn copy_in_chunks(mut from: &TcpStream, mut to: &TcpStream) -> io::Result<()> {
+    let mut buf = vec![0; BUFFER_BYTES];
+    let mut chunk = Vec::with_capacity(BUFFER_BYTES + CHUNK_HEAD_BYTES);
+    loop {
+        match from.read(&mut buf).await? {
+            0 => return to.write_all(framed::LAST_CHUNK).await,
+            n => framed::encode(&buf[..n], &mut chunk),
+        }
+        to.write_all(&chunk).await?;
+    }
+}
+
 /// Discards what arrives until the connection is closed.
 async fn discard(mut from: &TcpStream) {
     let mut buf = vec![0; BUFFER_BYTES];
     while from.read(&mut buf).await.is_ok_and(|n| n > 0) {}
 }
 
+/// Lets a connection be closed in order when it is dropped.
+fn close_in_order(stream: &TcpStream) {
+    // If this fails, the connection has ended already.
+    let _ = SockRef::from(stream).set_linger(None);
+}
+
 /// Lets a connection be reset when it is dropped.
 fn reset_on_close(stream: &TcpStream) {
     // If this fails, the connection has ended already.
--- a/kingcupspan/src/http/conn.rs
+++ b/kingcupspan/src/http/conn.rs
@@ -1,17 +1,20 @@
 //! Buffered HTTP/1.1 connection.
 
-use std::{io, net, time::Duration};
+use std::{io, net, pin::pin, time::Duration};
 
 use async_std::{net::TcpStream, task};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use socket2::SockRef;
 
 use crate::http::{
-    framing::{Framing, MalformedChunk, Step},
-    head::{self, HeadError, RequestHead, ResponseHead},
+    framed::Decoder,
+    framing::{Framing, Step},
+    head::{self, RequestHead, ResponseHead},
     held_bytes::{Holder, NoRoom},
 };
 
+pub use crate::http::read_error::ReadError;
+
 /// Maximum number of bytes requested in one read.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -35,49 +38,13 @@
 /// Maximum size of a response head, together with the interim responses before it.
 const RESPONSE_HEAD_MAX_BYTES: usize = 64 * 1024;
 
-/// Error returned when a message cannot be read from a connection.
-#[derive(Debug, thiserror::Error)]
-pub enum ReadError {
-    /// The peer closed the connection between messages.
-    #[error("connection closed")]
-    Closed,
-
-    /// The peer closed the connection in the middle of a message.
-    #[error("connection closed in the middle of a message")]
-    UnexpectedEof,
-
-    /// An I/O error occurred on the connection.
-    #[error("connection failed: {0}")]
-    Io(#[from] io::Error),
-
-    /// The head is malformed or unsupported.
-    #[error(transparent)]
-    Head(#[from] HeadError),
-
-    /// The head exceeds the size limit.
-    #[error("the head is too large")]
-    HeadTooLarge,
-
-    /// The body exceeds the size limit.
-    #[error("the body is too large")]
-    BodyTooLarge,
-
-    /// The chunked encoding of the body is malformed.
-    #[error(transparent)]
-    Chunk(#[from] MalformedChunk),
-
-    /// There is no memory left for the message.
-    #[error(transparent)]
-    NoRoom(#[from] NoRoom),
-
-    /// The connection gives way to others, since its peer sends nothing more.
-    #[error("the peer holds memory and makes no progress")]
-    Stalled,
-}
-
 /// A connection with a read buffer.
 pub struct Conn {
     stream: TcpStream,
+
+    /// Decodes what arrives, if it is framed by whoever passes it on.
+    decoder: Option<Decoder>,
+
     buf: Vec<u8>,
 
     /// Number of bytes at the start of `buf` that have been consumed.
@@ -103,6 +70,7 @@
         let _ = stream.set_nodelay(true);
         Self {
             stream,
+            decoder: None,
             buf: Vec::new(),
             pos: 0,
             immediate_reads: 0,
@@ -121,6 +89,16 @@
         }
     }
 
+    /// Decodes what arrives from now on: it comes in chunks, and its end is marked.
+    pub fn decode_chunks(&mut self) {
+        self.decoder = Some(Decoder::new(self.buf.split_off(self.pos)));
+    }
+
+    /// Whether an end in order is told apart from that of the process that passes the bytes on.
+    pub fn is_end_marked(&self) -> bool {
+        self.decoder.is_some()
+    }
+
     /// Returns the bound on what the connection holds, if it has one.
     pub fn holder(&self) -> Option<&Holder> {
         self.holder.as_ref()
@@ -192,12 +170,21 @@
         self.grow_buffer().await?;
         let len = self.buf.len();
         self.buf.resize(len + self.read_bytes, 0);
-        let mut read = self.stream.read(&mut self.buf[len..]);
-        let immediate = future::poll_once(&mut read).await;
-        let is_immediate = immediate.is_some();
-        let result = match immediate {
-            Some(result) => result,
-            None => read.await,
+        let (mut is_immediate, mut stream, buf) = (true, &self.stream, &mut self.buf[len..]);
+        let result = {
+            let mut read = pin!(async {
+                match &mut self.decoder {
+                    Some(decoder) => decoder.read(stream, buf).await,
+                    None => stream.read(buf).await,
+                }
+            });
+            match future::poll_once(read.as_mut()).await {
+                Some(result) => result,
+                None => {
+                    is_immediate = false;
+                    read.await
+                }
+            }
         };
         let n = *result.as_ref().unwrap_or(&0);
         self.buf.truncate(len + n);
@@ -456,7 +443,8 @@
     pub async fn is_idle(&self) -> bool {
         let mut buf = [0];
         let peek = future::poll_once(self.stream.peek(&mut buf));
-        self.unread().is_empty() && peek.await.is_none()
+        let is_decoded = self.decoder.as_ref().is_none_or(Decoder::is_empty);
+        self.unread().is_empty() && is_decoded && peek.await.is_none()
     }
 }
 
--- a/kingcupspan/src/http/mod.rs
+++ b/kingcupspan/src/http/mod.rs
@@ -4,6 +4,8 @@
 //! (docs/DESIGN.md), so this module parses heads with `httparse` and frames bodies itself.
 
 pub mod conn;
+pub mod framed;
 pub mod framing;
 pub mod head;
 pub mod held_bytes;
+pub mod read_error;
