A body without a length is whole only if its endpoint lives on

Callers saw 200 with a length and a part of the body when the endpoint itself was killed.

Cause: a killed process closes its connections in order, and a body with neither length nor chunks counted as whole at any end in order. The bytes can't tell it.

The end now counts if the process that sent the body answers afterwards: on a connection that was open before the request was sent, which leads to the same process, else on a new one that leads to the same run. In doubt a request that may be repeated goes elsewhere, any other gets 502 or a broken stream. It counts as a failure of the endpoint but not as a crash: it may have left behind its whole response. Price: a report, seldom a connection, for each such body. bodies_until_close_total counts by evidence.

--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -180,7 +180,10 @@
 /// is unusable.
 fn error_reason(e: &ReadError) -> Option<ErrorReason> {
     match e {
-        ReadError::Closed | ReadError::UnexpectedEof | ReadError::Io(_) => None,
+        ReadError::Closed
+        | ReadError::UnexpectedEof
+        | ReadError::DoubtfulEnd
+        | ReadError::Io(_) => None,
         ReadError::Stalled => Some(ErrorReason::SlowRequest),
         ReadError::NoRoom(_) => Some(ErrorReason::MemoryShort),
         ReadError::Head(_) | ReadError::Chunk(_) => Some(ErrorReason::MalformedRequest),
--- a/kingcupspan/src/gateway/run.rs
+++ b/kingcupspan/src/gateway/run.rs
@@ -158,6 +158,7 @@
         &upstream.health.changes,
         &second_copies.outcomes,
         &tunnels.outcomes,
+        &upstream.bodies_until_close,
     ];
     let metrics = Metrics::new(store.traffic(), &parts);
     let caller_limits = BudgetLimits::for_vm(settings.memory_bytes, settings.max_fds);
--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -172,6 +172,7 @@
             conn,
             run: Run::default(),
             tunnel,
+            opened_at: Instant::now(),
         }
     }
 
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -17,6 +17,9 @@
 /// How long the load reported by an endpoint is used where it does not tell how long work takes.
 const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time for which an idle connection is kept at an endpoint that has sent a body without a length.
+const KEEPS_IDLE_FOR: Duration = Duration::from_secs(30);
+
 /// Weight of the last request in the mean time that requests take.
 const DURATION_WEIGHT: f64 = 0.03;
 
@@ -34,6 +37,21 @@
 
     /// Set if the connection leads through a peer.
     pub(super) tunnel: Option<TunnelGuard>,
+
+    /// When the connection was open.
+    pub(super) opened_at: Instant,
+}
+
+impl EndpointConnection {
+    /// VM of the peer through which the connection leads.
+    pub(super) fn peer(&self) -> Option<&str> {
+        self.tunnel.as_ref().map(TunnelGuard::vm)
+    }
+
+    /// Whether the connection cannot end in order without the endpoint, as far as its path goes.
+    pub(super) fn is_end_marked(&self) -> bool {
+        self.tunnel.is_none() || self.conn.is_end_marked()
+    }
 }
 
 /// How this daemon opens connections to an endpoint.
@@ -95,6 +113,9 @@
     /// Until when peers are not asked for a connection, since none of them got one.
     pub(super) no_tunnel_until: Option<Instant>,
 
+    /// When the endpoint last sent a body without a length.
+    pub(super) sent_until_close_at: Option<Instant>,
+
     /// Rate limit that the endpoint named in its last response.
     pub(super) limit: Option<RequestRate>,
 
@@ -156,8 +177,40 @@
         });
     }
 
+    /// Whether an idle connection is kept, by which the end of a body without a length is checked.
+    pub(super) fn keeps_idle(&self) -> bool {
+        self.sent_until_close_at
+            .is_some_and(|at| at.elapsed() < KEEPS_IDLE_FOR)
+    }
+
+    /// Drops the idle connections that have expired, but for one that is kept.
+    pub(super) fn expire_idle(&mut self, now: Instant) {
+        let keeps_one = self.keeps_idle();
+        let mut left = self.idle.len();
+        self.idle.retain(|i| {
+            let is_kept = i.expires_at > now || (keeps_one && left == 1);
+            left -= usize::from(!is_kept);
+            is_kept
+        });
+    }
+
+    /// Takes an idle connection by the same path that was opened before `before`.
+    pub(super) fn take_older(
+        &mut self,
+        peer: Option<&str>,
+        before: Instant,
+    ) -> Option<IdleConnection> {
+        let is_older =
+            |i: &IdleConnection| i.connection.opened_at < before && i.connection.peer() == peer;
+        let position = self.idle.iter().rposition(is_older)?;
+        Some(self.idle.remove(position))
+    }
+
     /// Takes the idle connection that was used last and is not among `except`.
     pub(super) fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
+        if self.idle.len() == 1 && self.keeps_idle() {
+            return None;
+        }
         let is_allowed = |i: &IdleConnection| !except.contains(&i.connection.id);
         let position = self.idle.iter().rposition(is_allowed)?;
         Some(self.idle.remove(position))
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Sends requests to endpoints and manages the connections to them.
 
 mod connect;
+mod end_check;
 mod endpoint_state;
 mod health;
 mod request;
@@ -26,6 +27,7 @@
 };
 use kingcupspan_platform::headers::{self, HeaderLookup, ResponseInfo};
 use parking_lot::Mutex;
+use prometheus::IntCounterVec;
 
 pub use self::{
     endpoint_state::ConnectionId,
@@ -94,6 +96,9 @@
 
     /// Connections through peers.
     tunnels: Arc<Tunnels>,
+
+    /// Bodies that ended with their connection, by what tells that they are whole.
+    pub bodies_until_close: IntCounterVec,
 }
 
 /// Counts a request as in flight at an endpoint until the guard is dropped.
@@ -121,6 +126,7 @@
             opened_connections: AtomicU64::default(),
             crashes,
             tunnels,
+            bodies_until_close: end_check::counter(),
         }
     }
 
@@ -198,7 +204,7 @@
         let now = Instant::now();
         self.health.expire(&is_listed);
         self.states.lock().retain(|id, state| {
-            state.idle.retain(|i| i.expires_at > now);
+            state.expire_idle(now);
             let is_in_use = state.in_flight > 0 || !state.idle.is_empty();
             is_in_use || state.is_probed || (state.limit.is_some() && is_listed(id))
         });
@@ -227,6 +233,7 @@
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = out.encode(endpoint, remaining);
         let gave_up = self.listen_for_giving_up(&endpoint.id);
+        let sent_at = Instant::now();
         let response = async {
             conn.write(&request).await?;
             if out.body.len() > JOINED_BODY_MAX_BYTES {
@@ -251,6 +258,9 @@
             }
         };
         self.note_heard(&endpoint.id);
+        if head.framing == Framing::UntilClose {
+            self.note_until_close(&endpoint.id);
+        }
         let info = headers::response_info(&head.headers, head.status);
         self.record_load(&endpoint.id, &info);
         self.record_limit(&endpoint.id, &info);
@@ -262,6 +272,7 @@
             upstream: Arc::clone(self),
             endpoint: endpoint.clone(),
             sent: out.sent_request(),
+            sent_at,
             attempt,
         };
         if !response.is_trusted() {
@@ -284,6 +295,13 @@
         }
     }
 
+    /// Records that an endpoint sends a body without a length.
+    fn note_until_close(&self, id: &InstanceId) {
+        if let Some(state) = self.states.lock().get_mut(id) {
+            state.sent_until_close_at = Some(Instant::now());
+        }
+    }
+
     /// Takes an idle connection that is still usable and not among `refused_on`.
     async fn take_idle(
         &self,
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -1,12 +1,13 @@
 //! Response of an endpoint while its body is read.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Instant};
 
 use kingcupspan_core::gateway::endpoint::Endpoint;
 use kingcupspan_platform::headers::ResponseInfo;
 
 use super::{
     Upstream,
+    end_check::{Ended, Evidence},
     endpoint_state::{ConnectionId, EndpointConnection, SentRequest},
     health::Attempt,
 };
@@ -47,6 +48,9 @@
     pub(super) upstream: Arc<Upstream>,
     pub(super) endpoint: Endpoint,
     pub(super) sent: SentRequest,
+
+    /// When the request was sent.
+    pub(super) sent_at: Instant,
     pub(super) attempt: Attempt,
 }
 
@@ -72,6 +76,8 @@
     }
 
     /// Returns the next bytes of the body, or `None` at its end.
+    ///
+    /// The end of a connection counts as that of the body only if the endpoint is found alive.
     pub async fn next_chunk(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
         let conn = &mut self.connection.conn;
         let chunk = conn.read_body_chunk(&mut self.head.framing).await;
@@ -81,9 +87,29 @@
             self.upstream
                 .mark_suspect(&self.endpoint, Some(self.sent.clone()));
         }
+        if self.head.framing == Framing::UntilClose && matches!(chunk, Ok(None)) {
+            self.check_end().await?;
+        }
         chunk
     }
 
+    /// Fails if the body may have ended before it was whole.
+    async fn check_end(&mut self) -> Result<(), ReadError> {
+        let ended = Ended {
+            endpoint: &self.endpoint,
+            connection: &self.connection,
+            sent_at: self.sent_at,
+        };
+        if self.upstream.check_end(&ended).await != Evidence::Doubtful {
+            return Ok(());
+        }
+        log::warn!(request = &*self.sent.attempt.0, endpoint = &*self.endpoint.id.0; "body without a length may not be whole; treating it as broken off");
+        self.attempt.fail();
+        // Whether the endpoint has crashed or has left is not known.
+        self.upstream.mark_suspect(&self.endpoint, None);
+        Err(ReadError::DoubtfulEnd)
+    }
+
     /// Records that the response is not a complete one of the endpoint.
     pub fn note_failure(&mut self) {
         self.attempt.fail();
--- a/kingcupspan/src/gateway/upstream/run_check.rs
+++ b/kingcupspan/src/gateway/upstream/run_check.rs
@@ -4,7 +4,7 @@
 //! and the list of endpoints tells that late. A connection leads to one run for as long as it lasts,
 //! so it is asked once.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use async_std::future;
 use kingcupspan_core::gateway::endpoint::Endpoint;
@@ -39,13 +39,8 @@
     endpoint: &Endpoint,
 ) -> Result<(), SendError> {
     if connection.run == Run::Unchecked {
-        let report = read_report(&mut connection.conn, endpoint);
-        let report = future::timeout(REPORT_TIMEOUT, report).await;
-        connection.run = match report {
-            Ok(Ok(run)) => run,
-            Ok(Err(e)) => return Err(SendError::NotSent(e.to_string())),
-            Err(_) => return Err(SendError::NotSent("no report of the endpoint".to_owned())),
-        };
+        let asked = ask(connection, endpoint).await;
+        asked.map_err(|e| SendError::NotSent(e.to_string()))?;
     }
     match connection.run {
         Run::StartedAt(ms) if ms != endpoint.started_at_ms => Err(SendError::Replaced),
@@ -53,7 +48,20 @@
     }
 }
 
-/// Asks the endpoint for its report.
+/// Asks the endpoint for its report, which shows that it is alive, and returns the run to which the
+/// connection leads.
+pub(super) async fn ask(
+    connection: &mut EndpointConnection,
+    endpoint: &Endpoint,
+) -> Result<Run, ReadError> {
+    let report = read_report(&mut connection.conn, endpoint);
+    let report = future::timeout(REPORT_TIMEOUT, report).await;
+    let timed_out = |_| Err(io::Error::from(io::ErrorKind::TimedOut).into());
+    connection.run = report.unwrap_or_else(timed_out)?;
+    Ok(connection.run)
+}
+
+/// Reads the report of the endpoint.
 async fn read_report(conn: &mut Conn, endpoint: &Endpoint) -> Result<Run, ReadError> {
     conn.write(&report::request(endpoint.addr)).await?;
     let mut head = conn.response_head("GET").await?;
--- a/kingcupspan/src/http/read_error.rs
+++ b/kingcupspan/src/http/read_error.rs
@@ -15,6 +15,11 @@
     #[error("connection closed in the middle of a message")]
     UnexpectedEof,
 
+    /// The connection was closed in order, and it is not known whether its process did so behind the
+    /// whole message.
+    #[error("connection closed, perhaps in the middle of the message")]
+    DoubtfulEnd,
+
     /// An I/O error occurred on the connection.
     #[error("connection failed: {0}")]
     Io(#[from] io::Error),
