--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -178,20 +178,23 @@
     }
 
     /// Whether an idle connection is kept, by which the end of a body without a length is checked.
-    pub(super) fn keeps_idle(&self) -> bool {
+    fn keeps_idle(&self) -> bool {
         self.sent_until_close_at
             .is_some_and(|at| at.elapsed() < KEEPS_IDLE_FOR)
     }
 
-    /// Drops the idle connections that have expired, but for one that is kept.
+    /// The idle connection that is kept: the oldest one, which is older than most requests.
+    fn kept_idle(&self) -> Option<ConnectionId> {
+        let connections = self.idle.iter().map(|i| &i.connection);
+        let oldest = connections.min_by_key(|c| c.opened_at)?;
+        self.keeps_idle().then_some(oldest.id)
+    }
+
+    /// Drops the idle connections that have expired, but for the one that is kept.
     pub(super) fn expire_idle(&mut self, now: Instant) {
-        let keeps_one = self.keeps_idle();
-        let mut left = self.idle.len();
-        self.idle.retain(|i| {
-            let is_kept = i.expires_at > now || (keeps_one && left == 1);
-            left -= usize::from(!is_kept);
-            is_kept
-        });
+        let kept = self.kept_idle();
+        self.idle
+            .retain(|i| i.expires_at > now || Some(i.connection.id) == kept);
     }
 
     /// Takes an idle connection by the same path that was opened before `before`.
@@ -208,10 +211,11 @@
 
     /// Takes the idle connection that was used last and is not among `except`.
     pub(super) fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
-        if self.idle.len() == 1 && self.keeps_idle() {
-            return None;
-        }
-        let is_allowed = |i: &IdleConnection| !except.contains(&i.connection.id);
+        let kept = self.kept_idle();
+        let is_allowed = |i: &IdleConnection| {
+            let id = i.connection.id;
+            !except.contains(&id) && Some(id) != kept
+        };
         let position = self.idle.iter().rposition(is_allowed)?;
         Some(self.idle.remove(position))
     }
--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -12,4 +12,5 @@
 mod ended_peers;
 mod ended_processes;
 mod linked;
+mod tunnel_ends;
 mod unreached_endpoints;
