--- a/kingcupspan/tests/gateway_endpoints/ended_processes.rs
+++ b/kingcupspan/tests/gateway_endpoints/ended_processes.rs
@@ -124,10 +124,9 @@
     }
 }
 
-// Guards against the next run of an endpoint that passes for the one which has sent a part of a body.
-#[async_std::test]
-async fn response_that_was_held_back_past_a_restart_is_not_complete() {
-    let fleet = start_with_one_endpoint("gateway-ended-held-back", 5_000).await;
+/// Crashes the endpoint of a service whose connections are held back until it is up again; returns
+/// the response to a request that was in flight.
+async fn crash_behind_a_relay(fleet: &Fleet) -> Response {
     let addr = (process::unique_loopback_address(), 8080).into();
     let relay = relay::start(addr, fleet.plain_endpoint_addr("p1")).await;
     let relay = relay.expect("the address is free");
@@ -135,8 +134,8 @@
     fleet.store.put("keyed.servers", "p1", Some(&entry));
     task::sleep(LIST_DELAY).await;
     fleet.service_endpoints[0].drop_connections();
-    fill_idle_connections(&fleet).await;
-    send_without_length(&fleet, BodyEnd::Held);
+    fill_idle_connections(fleet).await;
+    send_without_length(fleet, BodyEnd::Held);
     let caller = fleet.caller_addr(0);
     let request = Request::plain("/unsafe/", "held-back");
     let sent = task::spawn(async move { caller::send(caller, &request).await });
@@ -145,7 +144,23 @@
     fleet.service_endpoints[0].crash();
     task::sleep(RESTART_TIME).await;
     relay.link_faults.set_blocked(false);
-    let response = sent.await;
+    sent.await
+}
+
+// Guards against the next run of an endpoint that passes for the one which has sent a part of a body.
+#[async_std::test]
+async fn response_that_was_held_back_past_a_restart_is_not_complete() {
+    let fleet = start_with_one_endpoint("gateway-ended-held-back", 5_000).await;
+    let response = crash_behind_a_relay(&fleet).await;
+    assert_eq!(response.status, 502, "{response:?}");
+}
+
+// Guards against the same if the endpoint tells nothing of its runs.
+#[async_std::test]
+async fn response_of_an_untold_run_that_was_held_back_past_a_restart_is_not_complete() {
+    let fleet = start_with_one_endpoint("gateway-ended-untold", 5_000).await;
+    fleet.service_endpoints[0].omit_report();
+    let response = crash_behind_a_relay(&fleet).await;
     assert_eq!(response.status, 502, "{response:?}");
 }
 
