Model of the core: transitions of calls in a file of their own

The transitions of a call and their records move to calls.rs; the functions are the same but for their visibility and paths. Run: finds_settlement_without_reservation passes; the long searches were not run.

--- a/kingcupspan_core/tests/spec/main.rs
+++ b/kingcupspan_core/tests/spec/main.rs
@@ -4,6 +4,7 @@
 //! code of the core itself.
 
 mod bounds;
+mod calls;
 mod invariants;
 mod random;
 mod search;
