Send HEAD on a connection of its own

Callers could see: 502 for a request that may not be repeated, where an endpoint answers a request twice, the second time late, and one of the two requests on the connection is HEAD.

Cause: a late answer is skipped with the framing of the waiting request. One to HEAD announces bytes that never come, and the skip takes the proper answer for them; one to another method is skipped without its body, which is then read as the head of an answer.

Ruled out: to remember the method of each request and to frame a late answer by the one that it names. A late answer to a request that is no longer remembered would be framed by a guess.

Change: HEAD takes no idle connection, and its connection is not kept. A new connection takes the place of an idle one, as for a repeated id.

Evidence, on the code before:

late_answer_to_head_does_not_cost_the_next_answer ... FAILED mixed2: Response { status: 502, .. body: "no whole answer\n", .. } late_answer_does_not_cost_the_answer_to_head ... FAILED mixed2: left: 502, right: 200

Both pass with the change.

Conclusion: a HEAD request costs a connection; the time that this takes was not measured.

--- a/kingcupspan/src/gateway/upstream/carried.rs
+++ b/kingcupspan/src/gateway/upstream/carried.rs
@@ -18,6 +18,9 @@
 pub(super) struct Carried {
     /// Hashes of their ids, since callers choose how long an id is; oldest first.
     ids: VecDeque<u64>,
+
+    /// Whether the connection is to carry no further request.
+    is_last: bool,
 }
 
 impl Carried {
@@ -33,6 +36,16 @@
     pub(super) fn contains(&self, id: &RequestId) -> bool {
         self.ids.contains(&hash(id))
     }
+
+    /// Records that the connection is to carry no further request.
+    pub(super) fn set_last(&mut self) {
+        self.is_last = true;
+    }
+
+    /// Whether the connection may carry a further request.
+    pub(super) fn may_continue(&self) -> bool {
+        !self.is_last
+    }
 }
 
 /// Returns a hash of an id; two ids with the same one cost a connection only.
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -157,7 +157,9 @@
     /// Takes the idle connection that was used last, among those that may carry a request; if there
     /// is none, a new connection takes the place of the oldest.
     pub(super) fn pop_idle(&mut self, out: &OutgoingRequest<'_>) -> Option<IdleConnection> {
-        let is_allowed = |i: &IdleConnection| !i.connection.carried.contains(out.id);
+        let is_allowed = |i: &IdleConnection| {
+            !out.needs_own_connection() && !i.connection.carried.contains(out.id)
+        };
         match self.idle.iter().rposition(is_allowed) {
             Some(position) => Some(self.idle.remove(position)),
             None => {
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -220,6 +220,9 @@
             checked.inspect_err(|_| attempt.fail())?;
         }
         connection.carried.add(out.id);
+        if out.needs_own_connection() {
+            connection.carried.set_last();
+        }
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = out.encode(endpoint, remaining);
--- a/kingcupspan/src/gateway/upstream/request.rs
+++ b/kingcupspan/src/gateway/upstream/request.rs
@@ -51,6 +51,12 @@
 }
 
 impl OutgoingRequest<'_> {
+    /// Whether the request is sent on a connection of its own: responses to HEAD have no body, so
+    /// that a late one next to those of other methods is read with the wrong framing.
+    pub(super) fn needs_own_connection(&self) -> bool {
+        self.method == "HEAD"
+    }
+
     /// Returns what is remembered of the request after it has been sent.
     pub(super) fn sent_request(&self) -> SentRequest {
         SentRequest {
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -87,8 +87,9 @@
     /// Makes the connection available for reuse after the complete body has been read.
     pub fn release_connection(mut self) {
         self.record_outcome();
-        let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
-        if is_reusable {
+        let connection = &self.connection;
+        let is_reusable = self.head.is_keep_alive && connection.conn.unread().is_empty();
+        if is_reusable && connection.carried.may_continue() {
             self.upstream
                 .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
         }
--- a/kingcupspan/tests/gateway_endpoints/late_responses.rs
+++ b/kingcupspan/tests/gateway_endpoints/late_responses.rs
@@ -2,7 +2,8 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use async_std::task;
+use async_std::{future, net::TcpStream, task};
+use kingcupspan::http::conn::Conn;
 use kingcupspan_platform_standin::{caller::Request, endpoint::EndpointBehavior};
 
 use crate::fleet::Fleet;
@@ -10,6 +11,9 @@
 /// Number of requests in flight together, which leave as many idle connections.
 const TOGETHER: usize = 8;
 
+/// Time for which a caller waits for the answer to a HEAD request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Starts a daemon whose endpoints send each response once more before the next.
 async fn start_repeating(name: &str, is_named: bool) -> Fleet {
     let fleet = Fleet::start(name, 1, 1_000).await;
@@ -21,6 +25,22 @@
     fleet
 }
 
+/// Sends a HEAD request and returns the status of its response, 0 if there is none.
+async fn send_head(fleet: &Fleet, id: &str) -> u16 {
+    let status = async {
+        let mut conn = Conn::new(TcpStream::connect(fleet.caller_addr(0)).await.ok()?);
+        let request = format!(
+            "HEAD /unsafe/ HTTP/1.1\r\nHost: test.example\r\nKingcupspan-Request-Id: {id}\r\n\
+             Kingcupspan-Deadline-Ms: 5000\r\n\r\n"
+        );
+        conn.write(request.as_bytes()).await.ok()?;
+        let head = conn.response_head("HEAD").await.ok()?;
+        Some(head.status)
+    };
+    let status = future::timeout(HEAD_TIMEOUT, status).await;
+    status.ok().flatten().unwrap_or_default()
+}
+
 // Guards against a caller's next try under the same id that gets the answer to the first one.
 #[async_std::test]
 async fn next_try_does_not_get_the_late_answer_to_the_first() {
@@ -51,3 +71,33 @@
         assert!(open <= TOGETHER, "{open} open connections");
     }
 }
+
+/// Sends requests of which every third is HEAD, beginning with the one numbered `head_at`.
+///
+/// Endpoints take turns, so that each gets requests of both methods.
+async fn assert_methods_do_not_mix(fleet: &Fleet, head_at: usize) {
+    for i in 0..30 {
+        let id = format!("mixed{i}");
+        if i % 3 == head_at {
+            assert_eq!(send_head(fleet, &id).await, 200, "{id}");
+            continue;
+        }
+        let response = fleet.send(0, &Request::plain("/unsafe/", &id)).await;
+        assert_eq!(response.status, 200, "{id}: {response:?}");
+        assert!(response.body.starts_with(&format!("done {id} in run")));
+    }
+}
+
+// Guards against a late answer to HEAD whose announced body is awaited and never comes.
+#[async_std::test]
+async fn late_answer_to_head_does_not_cost_the_next_answer() {
+    let fleet = start_repeating("gateway-late-head-first", true).await;
+    assert_methods_do_not_mix(&fleet, 0).await;
+}
+
+// Guards against a late answer whose body is left on the connection, since a HEAD request waits there.
+#[async_std::test]
+async fn late_answer_does_not_cost_the_answer_to_head() {
+    let fleet = start_repeating("gateway-late-head-next", true).await;
+    assert_methods_do_not_mix(&fleet, 2).await;
+}
