Conn::body: an end of the connection completes no message

No caller saw this: a request is never framed by the end of its connection, a late answer framed so was refused before its body was read, and a report framed so was refused after.

Cause of what could have come: Conn::body took an end in order for the end of a body without a length, and a killed peer ends its connections in order. The next reader of whole messages would have had the fault.

Change: Conn::body fails with UnexpectedEof there. read_body_chunk, which passes responses on, is unchanged.

Evidence, on the code before:

end_of_the_connection_completes_no_message ... FAILED Ok([97, 32, 112, 97, 114, 116])

It passes with the change, as the other ten tests of http_edge do.

--- a/kingcupspan/src/http/conn.rs
+++ b/kingcupspan/src/http/conn.rs
@@ -337,6 +337,8 @@
     }
 
     /// Reads a complete body of at most `max` bytes, which is held for the connection from then on.
+    ///
+    /// The end of the connection is never the end of the body: a peer that was killed ends it, too.
     pub async fn body(&mut self, framing: &mut Framing, max: usize) -> Result<Vec<u8>, ReadError> {
         let mut body = Vec::new();
         if let Framing::Length(len) = framing {
@@ -363,10 +365,7 @@
                 Step::NeedMore { skip } => {
                     self.pos += skip;
                     if self.fill().await? == 0 {
-                        return match framing {
-                            Framing::UntilClose => Ok(body),
-                            _ => Err(ReadError::UnexpectedEof),
-                        };
+                        return Err(ReadError::UnexpectedEof);
                     }
                 }
             }
--- a/kingcupspan/tests/http_edge.rs
+++ b/kingcupspan/tests/http_edge.rs
@@ -1,6 +1,8 @@
 //! Tests of parsing the heads and framing the bodies of HTTP/1.1 messages.
 
+use async_std::net::{TcpListener, TcpStream};
 use kingcupspan::http::{
+    conn::{Conn, ReadError},
     framing::{Framing, Step},
     head::{self, HeadError},
 };
@@ -116,6 +118,18 @@
     assert_eq!(complete, Ok(Some(b"abc".to_vec())));
 }
 
+// Guards against a part of a message that is taken for the whole, since its connection ended.
+#[async_std::test]
+async fn end_of_the_connection_completes_no_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let (peer, _) = listener.accept().await.unwrap();
+    Conn::new(peer).write(b"a part").await.unwrap();
+    let mut conn = Conn::new(stream.unwrap());
+    let body = conn.body(&mut Framing::UntilClose, 100).await;
+    assert!(matches!(body, Err(ReadError::UnexpectedEof)), "{body:?}");
+}
+
 #[test]
 fn malformed_chunks_are_rejected() {
     for body in [
