--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -11,7 +11,7 @@
     load_report::LoadReport, placement::Load, rate_limit::RequestRate,
 };
 
-use super::run_check::Run;
+use super::{carried::Carried, request::OutgoingRequest, run_check::Run};
 use crate::{gateway::tunnels::TunnelGuard, http::conn::Conn};
 
 /// How long the load reported by an endpoint is used where it does not tell how long work takes.
@@ -23,18 +23,16 @@
 /// Weight of the last request in the mean time that requests take.
 const DURATION_WEIGHT: f64 = 0.03;
 
-/// Identifies a connection to an endpoint among all that this daemon has opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ConnectionId(pub(super) u64);
-
 /// A connection to an endpoint.
 pub(super) struct EndpointConnection {
-    pub(super) id: ConnectionId,
     pub(super) conn: Conn,
 
     /// Run of the endpoint to which the connection leads.
     pub(super) run: Run,
 
+    /// Requests sent on the connection.
+    pub(super) carried: Carried,
+
     /// Set if the connection leads through a peer.
     pub(super) tunnel: Option<TunnelGuard>,
 
@@ -183,18 +181,22 @@
             .is_some_and(|at| at.elapsed() < KEEPS_IDLE_FOR)
     }
 
-    /// The idle connection that is kept: the oldest one, which is older than most requests.
-    fn kept_idle(&self) -> Option<ConnectionId> {
-        let connections = self.idle.iter().map(|i| &i.connection);
-        let oldest = connections.min_by_key(|c| c.opened_at)?;
-        self.keeps_idle().then_some(oldest.id)
+    /// Position of the idle connection that is kept: the oldest one, which is older than most requests.
+    fn kept_idle(&self) -> Option<usize> {
+        let connections = self.idle.iter().map(|i| &i.connection).enumerate();
+        let (oldest, _) = connections.min_by_key(|(_, c)| c.opened_at)?;
+        self.keeps_idle().then_some(oldest)
     }
 
     /// Drops the idle connections that have expired, but for the one that is kept.
     pub(super) fn expire_idle(&mut self, now: Instant) {
         let kept = self.kept_idle();
-        self.idle
-            .retain(|i| i.expires_at > now || Some(i.connection.id) == kept);
+        let mut position = 0;
+        self.idle.retain(|i| {
+            let is_kept = Some(position) == kept;
+            position += 1;
+            is_kept || i.expires_at > now
+        });
     }
 
     /// Takes an idle connection by the same path that was opened before `before`.
@@ -209,15 +211,22 @@
         Some(self.idle.remove(position))
     }
 
-    /// Takes the idle connection that was used last and is not among `except`.
-    pub(super) fn pop_idle(&mut self, except: &[ConnectionId]) -> Option<IdleConnection> {
+    /// Takes the idle connection that was used last, among those that may carry a request; if there
+    /// is none, a new connection takes the place of another one.
+    pub(super) fn pop_idle(&mut self, out: &OutgoingRequest<'_>) -> Option<IdleConnection> {
         let kept = self.kept_idle();
-        let is_allowed = |i: &IdleConnection| {
-            let id = i.connection.id;
-            !except.contains(&id) && Some(id) != kept
+        let mut others = (0..self.idle.len()).filter(|n| Some(*n) != kept);
+        let may_carry = |n: &usize| {
+            let carried = &self.idle[*n].connection.carried;
+            !out.needs_own_connection() && !carried.contains(out.id)
         };
-        let position = self.idle.iter().rposition(is_allowed)?;
-        Some(self.idle.remove(position))
+        if let Some(position) = others.clone().rfind(may_carry) {
+            return Some(self.idle.remove(position));
+        }
+        if let Some(position) = others.next() {
+            self.idle.remove(position);
+        }
+        None
     }
 
     /// Whether no byte has arrived for `span` though requests are in flight, and nobody looks after
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Sends requests to endpoints and manages the connections to them.
 
+mod carried;
 mod connect;
 mod end_check;
 mod endpoint_state;
@@ -11,7 +12,7 @@
 use std::{
     collections::HashMap,
     io,
-    sync::{Arc, atomic::AtomicU64},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -29,15 +30,14 @@
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 
-pub use self::{
-    endpoint_state::ConnectionId,
-    request::OutgoingRequest,
-    response::{Delivery, EndpointResponse},
-};
 use self::{
     endpoint_state::{EndpointConnection, EndpointState, Reach, SentRequest},
     health::{Attempt, Health},
 };
+pub use self::{
+    request::OutgoingRequest,
+    response::{Delivery, EndpointResponse},
+};
 use crate::{
     gateway::tunnels::Tunnels,
     http::{
@@ -88,9 +88,6 @@
     /// How requests end at the endpoints.
     pub health: Arc<Health>,
 
-    /// Number of connections opened so far.
-    opened_connections: AtomicU64,
-
     /// Receives reports of crashed endpoints.
     crashes: async_channel::Sender<Vec<Crash>>,
 
@@ -123,7 +120,6 @@
         Self {
             states: Mutex::default(),
             health: Arc::new(Health::new()),
-            opened_connections: AtomicU64::default(),
             crashes,
             tunnels,
             bodies_until_close: end_check::counter(),
@@ -218,7 +214,7 @@
     ) -> Result<EndpointResponse, SendError> {
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let mut attempt = Attempt::new(&self.health, endpoint, out.timed_as, remaining);
-        let mut connection = match self.take_idle(&endpoint.id, out.refused_on).await {
+        let mut connection = match self.take_idle(&endpoint.id, out).await {
             Some(connection) => connection,
             None => self
                 .connect(endpoint)
@@ -229,6 +225,10 @@
             let checked = run_check::check(&mut connection, endpoint).await;
             checked.inspect_err(|_| attempt.fail())?;
         }
+        connection.carried.add(out.id);
+        if out.needs_own_connection() {
+            connection.carried.set_last();
+        }
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let request = out.encode(endpoint, remaining);
@@ -262,6 +262,15 @@
             self.note_until_close(&endpoint.id);
         }
         let info = headers::response_info(&head.headers, head.status);
+        if info.id.is_none() {
+            if connection.carried.is_shared() {
+                // An endpoint that has begun to omit ids does so on its other connections as well.
+                self.drop_idle(&endpoint.id);
+                attempt.fail();
+                return Err(SendError::Lost("the response names no request".to_owned()));
+            }
+            connection.carried.set_last();
+        }
         self.record_load(&endpoint.id, &info);
         self.record_limit(&endpoint.id, &info);
         attempt.note_response();
@@ -302,14 +311,14 @@
         }
     }
 
-    /// Takes an idle connection that is still usable and not among `refused_on`.
+    /// Takes an idle connection that is still usable and may carry a request.
     async fn take_idle(
         &self,
         id: &InstanceId,
-        refused_on: &[ConnectionId],
+        out: &OutgoingRequest<'_>,
     ) -> Option<EndpointConnection> {
         loop {
-            let idle = self.states.lock().get_mut(id)?.pop_idle(refused_on)?;
+            let idle = self.states.lock().get_mut(id)?.pop_idle(out)?;
             if idle.expires_at > Instant::now() && idle.connection.conn.is_idle().await {
                 return Some(idle.connection);
             }
--- a/kingcupspan/src/gateway/upstream/request.rs
+++ b/kingcupspan/src/gateway/upstream/request.rs
@@ -7,10 +7,7 @@
 };
 use kingcupspan_platform::headers;
 
-use super::{
-    JOINED_BODY_MAX_BYTES,
-    endpoint_state::{ConnectionId, SentRequest},
-};
+use super::{JOINED_BODY_MAX_BYTES, endpoint_state::SentRequest};
 use crate::http::head::Headers;
 
 /// A request to be sent to an endpoint.
@@ -51,13 +48,15 @@
 
     /// Whether only the run of the endpoint that is listed may run the request.
     pub needs_listed_run: bool,
-
-    /// Connections on which the endpoint has refused this attempt. It is not sent on them
-    /// again: a second copy of a refusal could not be told from a response.
-    pub refused_on: &'a [ConnectionId],
 }
 
 impl OutgoingRequest<'_> {
+    /// Whether the request is sent on a connection of its own: responses to HEAD have no body, so
+    /// that a late one next to those of other methods is read with the wrong framing.
+    pub(super) fn needs_own_connection(&self) -> bool {
+        self.method == "HEAD"
+    }
+
     /// Returns what is remembered of the request after it has been sent.
     pub(super) fn sent_request(&self) -> SentRequest {
         SentRequest {
--- a/kingcupspan/src/gateway/upstream/response.rs
+++ b/kingcupspan/src/gateway/upstream/response.rs
@@ -8,7 +8,7 @@
 use super::{
     Upstream,
     end_check::{Ended, Evidence},
-    endpoint_state::{ConnectionId, EndpointConnection, SentRequest},
+    endpoint_state::{EndpointConnection, SentRequest},
     health::Attempt,
 };
 use crate::http::{conn::ReadError, framing::Framing, head::ResponseHead};
@@ -70,11 +70,6 @@
         }
     }
 
-    /// Returns the connection on which the response arrived.
-    pub fn connection_id(&self) -> ConnectionId {
-        self.connection.id
-    }
-
     /// Returns the next bytes of the body, or `None` at its end.
     ///
     /// The end of a connection counts as that of the body only if the endpoint is found alive.
@@ -118,8 +113,9 @@
     /// Makes the connection available for reuse after the complete body has been read.
     pub fn release_connection(mut self) {
         self.record_outcome();
-        let is_reusable = self.head.is_keep_alive && self.connection.conn.unread().is_empty();
-        if is_reusable {
+        let connection = &self.connection;
+        let is_reusable = self.head.is_keep_alive && connection.conn.unread().is_empty();
+        if is_reusable && connection.carried.may_continue() {
             self.upstream
                 .return_connection(&self.endpoint.id, self.connection, &self.head.headers);
         }
--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -11,6 +11,7 @@
 mod continued_streams;
 mod ended_peers;
 mod ended_processes;
+mod late_responses;
 mod linked;
 mod tunnel_ends;
 mod unreached_endpoints;
