Don't end a response in order whose connection gives way

What callers could see: an HTTP/1.0 caller, for whom the end of the connection is the end of the body, took a cut body for a whole one if its connection had to give way to others while the daemon was sending.

Cause: the eviction called shutdown(Both) on a connection that was sending, which queues an end in order behind the bytes sent so far. The linger of 0 that begin_body sets acts only when the connection is dropped, and its task may run later than the caller reads.

Ruled out: a shutdown of the reading side alone, which doesn't wake a write that waits for its caller.

Change: the eviction notifies an event, on which Conn::write fails. The connection is then dropped by its owner, with whatever linger is set. A connection that receives is still shut down for reading.

Evidence: response_that_gives_way_does_not_end_in_order lets the task of the evicted connection run 500 ms late.

Conclusion: shown with a task that is held up; how often one runs late enough was not measured.

--- a/kingcupspan/src/http/conn.rs
+++ b/kingcupspan/src/http/conn.rs
@@ -3,7 +3,7 @@
 use std::{io, net, time::Duration};
 
 use async_std::{net::TcpStream, task};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt, future};
 use socket2::SockRef;
 
 use crate::http::{
@@ -402,7 +402,8 @@
         self.wait_for_room(self.buf.capacity(), self.kept).await
     }
 
-    /// Writes all bytes to the connection.
+    /// Writes all bytes to the connection; fails if it has to give way to others, and leaves it to
+    /// its owner how it is closed then.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let mut stream = &self.stream;
         let Some(holder) = &self.holder else {
@@ -415,7 +416,11 @@
                 Some(result) => result?,
                 None => {
                     let _sending = holder.begin_sending();
-                    write.await?
+                    let evicted = async {
+                        holder.wait_for_eviction().await;
+                        Err(io::Error::other(ReadError::Stalled))
+                    };
+                    write.or(evicted).await?
                 }
             };
             if n == 0 {
--- a/kingcupspan/src/http/held_bytes.rs
+++ b/kingcupspan/src/http/held_bytes.rs
@@ -34,9 +34,17 @@
     room: Event,
 }
 
+/// A connection that holds memory, as those that need its room see it.
+struct Connection {
+    stream: TcpStream,
+
+    /// Notified when the connection has to give way while it sends.
+    eviction: Arc<Event>,
+}
+
 struct State {
     budget: ByteBudget,
-    streams: HashMap<HolderId, TcpStream>,
+    connections: HashMap<HolderId, Connection>,
 
     /// Number of connections that wait for room.
     waiting: usize,
@@ -46,18 +54,23 @@
 }
 
 impl State {
-    /// Closes connections, which lets their tasks end.
-    fn close_streams(&mut self, ids: &[HolderId]) {
+    /// Lets the tasks of connections end.
+    fn evict(&mut self, ids: &[HolderId]) {
         self.stalled += ids.len() as u64;
         for id in ids {
-            let how = match self.budget.stage(*id) {
-                Some(Stage::Sending) => net::Shutdown::Both,
-                // The caller of a request that did not arrive is told so.
-                _ => net::Shutdown::Read,
+            let Some(conn) = self.connections.get(id) else {
+                continue;
             };
-            if let Some(stream) = self.streams.get(id) {
-                // The connection may be closed already.
-                let _ = stream.shutdown(how);
+            match self.budget.stage(*id) {
+                // A shutdown would end a body in order that ends with its connection.
+                Some(Stage::Sending) => {
+                    conn.eviction.notify(usize::MAX);
+                }
+                // The caller of a request that did not arrive is told so.
+                _ => {
+                    // The connection may be closed already.
+                    let _ = conn.stream.shutdown(net::Shutdown::Read);
+                }
             }
         }
     }
@@ -70,7 +83,7 @@
             clock,
             state: Mutex::new(State {
                 budget: ByteBudget::new(limits),
-                streams: HashMap::new(),
+                connections: HashMap::new(),
                 waiting: 0,
                 stalled: 0,
             }),
@@ -83,11 +96,17 @@
         let now = self.clock.mono();
         let mut state = self.state.lock();
         let (id, evicted) = state.budget.open(now)?;
-        state.streams.insert(id, stream.clone());
-        state.close_streams(evicted.as_slice());
+        let eviction = Arc::new(Event::new());
+        let conn = Connection {
+            stream: stream.clone(),
+            eviction: Arc::clone(&eviction),
+        };
+        state.connections.insert(id, conn);
+        state.evict(evicted.as_slice());
         Some(Holder {
             held: Arc::clone(self),
             id,
+            eviction,
         })
     }
 
@@ -107,13 +126,16 @@
 pub struct Holder {
     held: Arc<HeldBytes>,
     id: HolderId,
+
+    /// Notified when the connection has to give way while it sends.
+    eviction: Arc<Event>,
 }
 
 impl Drop for Holder {
     fn drop(&mut self) {
         let mut state = self.held.state.lock();
         state.budget.close(self.id);
-        state.streams.remove(&self.id);
+        state.connections.remove(&self.id);
         drop(state);
         self.held.room.notify(1);
     }
@@ -133,7 +155,7 @@
             }
             Grant::Granted => Ok(()),
             Grant::Short(evicted) => {
-                state.close_streams(&evicted);
+                state.evict(&evicted);
                 Err(NoRoom)
             }
         }
@@ -196,6 +218,17 @@
         self.held.state.lock().budget.is_evicted(self.id)
     }
 
+    /// Waits until the connection has to give way while it sends.
+    pub async fn wait_for_eviction(&self) {
+        loop {
+            let eviction = self.eviction.listen();
+            if self.is_evicted() {
+                return;
+            }
+            eviction.await;
+        }
+    }
+
     /// Records that the connection sends to its caller until the returned guard is dropped.
     pub fn begin_sending(&self) -> Sending<'_> {
         let former = self.held.state.lock().budget.stage(self.id);
--- a/kingcupspan/tests/gateway/held_bytes.rs
+++ b/kingcupspan/tests/gateway/held_bytes.rs
@@ -1,14 +1,18 @@
 //! What callers' connections hold in one process, over sockets of the test.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use async_std::{
     net::{TcpListener, TcpStream},
     task,
 };
+use futures_lite::AsyncReadExt;
 use kingcupspan::{
     clock::Clock,
-    http::held_bytes::{HeldBytes, Holder},
+    http::{
+        conn::Conn,
+        held_bytes::{HeldBytes, Holder},
+    },
 };
 use kingcupspan_core::gateway::byte_budget::{BudgetLimits, Stage};
 
@@ -25,6 +29,12 @@
 /// Time after which a connection without progress gives way.
 const STALLED: Duration = Duration::from_millis(600);
 
+/// Size of a response that its caller does not read, in bytes.
+const UNREAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Time for which the task of a connection that gave way does not run.
+const HELD_UP: Duration = Duration::from_millis(500);
+
 /// Returns a state, two connections that hold memory, and the sockets, which have to stay.
 async fn two_holders() -> (Arc<HeldBytes>, [Holder; 2], Vec<TcpStream>) {
     let held = Arc::new(HeldBytes::new(LIMITS, Clock::default()));
@@ -68,3 +78,27 @@
     drop(first);
     assert!(waiting.await.is_ok());
 }
+
+// Guards against a body that ends with its connection and looks complete, since the connection
+// gave way to others in the middle of it and its task ran late.
+#[async_std::test]
+async fn response_that_gives_way_does_not_end_in_order() {
+    let (_held, [first, second], mut streams) = two_holders().await;
+    assert!(first.try_resize(LARGE).is_ok());
+    let mut conn = Conn::with_holder(streams[1].clone(), first);
+    let mut caller = streams.swap_remove(0);
+    // The connection of this test is closed with `conn`.
+    drop(streams);
+    let sending = task::spawn(async move {
+        conn.set_reset_on_close(true);
+        let written = conn.write(&vec![0; UNREAD_BYTES]).await;
+        task::sleep(HELD_UP).await;
+        written
+    });
+    task::sleep(STALLED).await;
+    assert!(second.try_resize(LARGE).is_err());
+    let read = caller.read_to_end(&mut Vec::new()).await;
+    let error = read.expect_err("the connection is reset");
+    assert_eq!(error.kind(), io::ErrorKind::ConnectionReset);
+    assert!(sending.await.is_err());
+}
