Close the connection of an HTTP/1.0 caller after each response

What callers saw: with `Connection: keep-alive`, a large body or a stream to an HTTP/1.0 caller had neither length nor chunks, and its connection stayed open: no end ever came. With `Expect: 100-continue`, such a caller got an interim response, which HTTP/1.0 doesn't know, and could take it for the final one.

Cause: wants_close kept the connection open on keep-alive, whatever the framing of the response; read_body didn't look at the version of the request.

Ruled out: keeping the connection open for those responses that have a length. The choice is made before the framing of a response is known.

Change: a request of HTTP/1.0 always wants its connection closed, and never expects an interim response.

Evidence: before, connection_of_an_http10_caller_is_closed_after_its_response ran into its 5 s timeout ("the connection is closed: TimeoutError"), and http10_caller_gets_no_interim_response found 1 interim response instead of 0. Both pass now; HTTP/1.1 callers still get theirs.

Conclusion: both faults were in what any HTTP/1.0 caller could send.

--- a/kingcupspan/src/gateway/ingress.rs
+++ b/kingcupspan/src/gateway/ingress.rs
@@ -165,7 +165,7 @@
     limits: &Limits,
 ) -> Result<Vec<u8>, Option<ErrorReason>> {
     let mut framing = head.framing.clone();
-    if !framing.is_done() && head.headers.has_token("expect", "100-continue") {
+    if !framing.is_done() && head.expects_continue() {
         conn.write(CONTINUE_RESPONSE).await.map_err(|_| None)?;
     }
     let read = conn.body(&mut framing, limits.body_bytes);
--- a/kingcupspan/src/http/head.rs
+++ b/kingcupspan/src/http/head.rs
@@ -199,10 +199,15 @@
         path.starts_with('/').then_some((host, path))
     }
 
-    /// Returns whether the caller wants the connection to be closed after the response.
+    /// Returns whether the connection has to be closed after the response: HTTP/1.0 callers may
+    /// find the end of a body by that alone.
     pub fn wants_close(&self) -> bool {
-        let is_keep_alive = self.headers.has_token("connection", "keep-alive");
-        self.headers.has_token("connection", "close") || (self.is_http10 && !is_keep_alive)
+        self.is_http10 || self.headers.has_token("connection", "close")
+    }
+
+    /// Returns whether the caller waits for an interim response before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        !self.is_http10 && self.headers.has_token("expect", "100-continue")
     }
 }
 
--- a/kingcupspan/tests/gateway/main.rs
+++ b/kingcupspan/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 
 mod allocation_homes;
 mod budgets;
+mod caller_framing;
 mod durable_turns;
 mod encodings;
 mod endless_responses;
