Send no bytes behind a response without a body

What callers saw: a streaming route answered HEAD and 204 with `Transfer-Encoding: chunked` and a last chunk behind the head, which the caller takes for the start of its next response. 204 and 304 carried `Content-Length: 0` on all other paths.

Cause: event_stream framed each 2xx as chunks, and buffered left the length out for HEAD only.

Ruled out: the endpoint's framing, which treats HEAD, 204 and 304 as without a body already.

Change: a response without a body by its method or status takes the buffered path, which writes neither length nor chunks for it.

Evidence: nothing_follows_a_response_without_a_body failed before in 5 of 6 cases: HEAD and 204 on the streaming route had "0\r\n\r\n" before the next response, 204 on the plain route and 304 on both had Content-Length: 0. All 6 pass now.

Conclusion: the caller's next response on the connection is read properly.

--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -104,10 +104,7 @@
             return relay_large_body(ex, caller, response, body, kept).await;
         }
     }
-    let length = match ex.head.method.as_str() {
-        "HEAD" => None,
-        _ => Some(body.len()),
-    };
+    let length = (!is_bodiless(ex, &response.head)).then_some(body.len());
     let mut bytes = encode_head(&response.head, ex, BodyFraming::Length(length));
     bytes.reserve_exact(body.len());
     bytes.extend_from_slice(&body);
@@ -122,6 +119,11 @@
     })
 }
 
+/// Whether a response has no body by its method or status, so that no byte may follow its head.
+fn is_bodiless(ex: &Exchange, head: &ResponseHead) -> bool {
+    ex.head.method == "HEAD" || matches!(head.status, 204 | 304)
+}
+
 /// Makes room for `added` more bytes of a body that is buffered for a caller, for whom `kept` bytes
 /// are held besides; false if there is no room.
 fn grow(caller: &mut Conn, kept: usize, body: &mut Vec<u8>, added: usize) -> bool {
@@ -185,7 +187,8 @@
     caller: &mut Conn,
     mut response: EndpointResponse,
 ) -> Result<RelayedResponse, Error> {
-    if !(200..300).contains(&response.head.status) {
+    let is_success = (200..300).contains(&response.head.status);
+    if !is_success || is_bodiless(ex, &response.head) {
         return buffered(ex, caller, response).await;
     }
     let tokens_per_event = ex.configuration.tokens_per_event(&ex.service);
--- a/kingcupspan/tests/gateway/caller_framing.rs
+++ b/kingcupspan/tests/gateway/caller_framing.rs
@@ -76,3 +76,35 @@
         assert!(response.contains("HTTP/1.1 200 OK"), "{response}");
     }
 }
+
+// Guards against bytes behind a response without a body, which its caller takes for the start of
+// the next response.
+#[async_std::test]
+async fn nothing_follows_a_response_without_a_body() {
+    let fleet = Fleet::start("gateway-bodiless", 1, 3_000).await;
+    let cases = [
+        ("HEAD /llm/x HTTP/1.1", 200),
+        ("HEAD /unsafe/x HTTP/1.1", 200),
+        ("POST /llm/x HTTP/1.1", 204),
+        ("POST /unsafe/x HTTP/1.1", 204),
+        ("POST /llm/x HTTP/1.1", 304),
+        ("POST /unsafe/x HTTP/1.1", 304),
+    ];
+    let mut wrong = Vec::new();
+    for (i, (line, status)) in cases.into_iter().enumerate() {
+        let endpoints = fleet.service_endpoints.iter().chain([&fleet.engine]);
+        endpoints.for_each(|e| e.set_behavior(EndpointBehavior::OddStatus(status)));
+        let first = request(line, &format!("f{i}"), "");
+        let last = request("GET /none/x HTTP/1.1", "last", "Connection: close\r\n");
+        let responses = exchange(fleet.caller_addr(0), &(first + &last)).await;
+        let (head, rest) = responses.split_once("\r\n\r\n").expect("the head ends");
+        let head = head.to_ascii_lowercase();
+        let is_bodiless = head.starts_with(&format!("http/1.1 {status} "))
+            && !head.contains("\r\ntransfer-encoding:")
+            && !head.contains("\r\ncontent-length:");
+        if !is_bodiless || !rest.starts_with("HTTP/1.1 404 ") {
+            wrong.push(format!("{line} {status}: {responses}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
