Refuse responses of other processes that have no length

What could be seen: a response with neither Content-Length nor chunks, or with a transfer coding other than `chunked`, counted as a whole empty one, as did an interim response. Its connection returned to the pool, and the next request on it got no response, or the late one of the request before.

Cause: async-h1 reads no body without a length or chunks and gives an empty one; it doesn't read until the end of the connection, as was assumed. The client took the empty body for complete.

Ruled out: bodies cut with a length or in chunks.

Change: such a response is SendError::Lost, unless its status (204, 304) has no body, and its connection is closed.

Conclusion: no end of a connection is taken for the end of a response here.

--- a/kingcupspan/src/edge/client.rs
+++ b/kingcupspan/src/edge/client.rs
@@ -4,6 +4,7 @@
 
 use async_std::{future, net::TcpStream};
 use futures_lite::AsyncReadExt;
+use http_types::headers;
 
 use crate::edge::tcp::{self, Remote};
 
@@ -172,8 +173,12 @@
             Ok(Err(e)) => return Err(SendError::Lost(addr, e.to_string())),
             Ok(Ok(res)) => res,
         };
+        if !has_end(&res) {
+            let detail = "the body has no length".to_owned();
+            return Err(SendError::Lost(addr, detail));
+        }
         let closes_connection = res
-            .header(http_types::headers::CONNECTION)
+            .header(headers::CONNECTION)
             .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
         let body = res.take_body();
         Ok(ClientResponse {
@@ -207,6 +212,17 @@
     }
 }
 
+/// Returns whether the end of a response can be told from the end of its connection. The HTTP
+/// library takes the body for empty otherwise, also that of an interim response.
+fn has_end(res: &http_types::Response) -> bool {
+    let is_chunked = |v: &headers::HeaderValues| v.last().as_str() == "chunked";
+    matches!(u16::from(res.status()), 204 | 304)
+        || res.header(headers::CONTENT_LENGTH).is_some()
+        || res
+            .header(headers::TRANSFER_ENCODING)
+            .is_some_and(is_chunked)
+}
+
 /// Returns whether an idle connection is still open: neither data nor end of file is readable.
 async fn is_open(stream: &TcpStream) -> bool {
     let mut buf = [0];
@@ -233,7 +249,7 @@
     let url = http_types::Url::parse(&format!("http://{}{}", req.addr, req.path))?;
     let mut encoded = http_types::Request::new(req.method, url);
     for (name, value) in &req.headers {
-        let value = http_types::headers::HeaderValue::from_bytes(value.clone().into_bytes())?;
+        let value = headers::HeaderValue::from_bytes(value.clone().into_bytes())?;
         encoded.insert_header(*name, value);
     }
     encoded.set_body(req.body);
