Close the connection after a refused request body, and say so

What callers saw: a response to a refused body (too large, late, cut or malformed) didn't say that its connection is closed, so a caller could send its next request on it and lose that. A body with another transfer coding (`gzip, chunked`) was taken for an empty one and answered 200.

Cause: the reading side was shut down without `Connection: close`. async-h1 knows the coding `chunked` alone and takes no body for any other.

Ruled out: chunked requests cut in the middle. They were refused before; the test holds that, with a cut inside and behind a chunk.

Change: a refused body makes the response say `Connection: close`, and ends the connection. A transfer coding that the library doesn't read is refused.

--- a/kingcupspan/src/edge/server.rs
+++ b/kingcupspan/src/edge/server.rs
@@ -25,6 +25,9 @@
     pub accepted_at: Instant,
 
     stream: TcpStream,
+
+    /// Whether the body was refused, so that the rest of it may follow on the connection.
+    is_body_refused: Arc<atomic::AtomicBool>,
 }
 
 impl Exchange {
@@ -32,6 +35,11 @@
     /// `timeout`.
     pub async fn body(&mut self, limit: u64, timeout: Duration) -> Result<Vec<u8>, Problem> {
         let content_length = self.req.len();
+        // The HTTP library reads one coding, and takes the body for empty with any other.
+        if content_length.is_some() && self.req.header(headers::TRANSFER_ENCODING).is_some() {
+            let detail = "the transfer coding is not supported".to_owned();
+            return Err(self.reject(Problem::not_run(Kind::BadRequest, detail)));
+        }
         if content_length.is_some_and(|len| len as u64 > limit) {
             return Err(self.reject(too_large(limit)));
         }
@@ -57,8 +65,9 @@
     }
 
     /// Returns the problem after shutting down the read half of the connection, so that the
-    /// server does not wait for the rest of the body.
+    /// server does not wait for the rest of the body; the connection is closed after the response.
     fn reject(&self, problem: Problem) -> Problem {
+        self.is_body_refused.store(true, atomic::Ordering::SeqCst);
         // An error means that the connection is already closed.
         let _ = self.stream.shutdown(net::Shutdown::Read);
         problem
@@ -183,17 +192,23 @@
     // Guard of the request that the connection is serving, if any.
     let in_flight_guard = Arc::new(parking_lot::Mutex::new(None));
     let handle_request = |req| {
+        let is_body_refused = Arc::new(atomic::AtomicBool::new(false));
         let exchange = Exchange {
             req,
             accepted_at,
             stream: stream.clone(),
+            is_body_refused: Arc::clone(&is_body_refused),
         };
         *in_flight_guard.lock() = Some(tracker.track());
         let handler = handler.clone();
         let tracker = Arc::clone(&tracker);
         async move {
             let mut res = handler(exchange).await;
-            if tracker.should_close.load(atomic::Ordering::SeqCst) {
+            let should_close = [&tracker.should_close, &*is_body_refused];
+            if should_close
+                .iter()
+                .any(|c| c.load(atomic::Ordering::SeqCst))
+            {
                 res.insert_header(headers::CONNECTION, "close");
             }
             Ok(res)
