Count a response as begun before its final bytes are written

What callers could see, by reading the code: a stream without events writes its head together with its last chunk. If the deadline ended this write in the middle, the request still counted as not answered, and an error response followed a part of the head.

Cause: end_body wrote while the progress was Sent; only buffered responses and events set Responding.

Change: end_body sets Responding before it writes.

Evidence: none that shows the fault. A test needs a head larger than what the socket buffers take and a caller that doesn't read until the deadline; none was written. The gateway tests passed with the change: 132 of 132.

Conclusion: suspected only, not shown.

--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -254,7 +254,9 @@
 }
 
 /// Sends the final bytes of a response; after that its connection may be closed in order.
-pub async fn end_body(ex: &Exchange, caller: &mut Conn, final_bytes: &[u8]) -> io::Result<()> {
+pub async fn end_body(ex: &mut Exchange, caller: &mut Conn, final_bytes: &[u8]) -> io::Result<()> {
+    // The deadline may end the write in the middle of the head.
+    ex.progress = Progress::Responding;
     caller.write(final_bytes).await?;
     if ex.head.is_http10 {
         caller.set_reset_on_close(false);
