--- a/kingcupspan/src/gateway/upstream/run_check.rs
+++ b/kingcupspan/src/gateway/upstream/run_check.rs
@@ -8,7 +8,7 @@
 
 use async_std::future;
 use kingcupspan_core::gateway::endpoint::Endpoint;
-use kingcupspan_platform::report;
+use kingcupspan_platform::{headers, report};
 
 use super::{SendError, endpoint_state::EndpointConnection};
 use crate::http::{conn::Conn, conn::ReadError};
@@ -66,7 +66,9 @@
     conn.write(&report::request(endpoint.addr)).await?;
     let mut head = conn.response_head("GET").await?;
     let body = conn.body(&mut head.framing, REPORT_MAX_BYTES).await?;
-    if !head.is_keep_alive {
+    let info = headers::response_info(&head.headers, head.status);
+    // A late answer to a request is no report.
+    if !head.is_keep_alive || info.id.is_some() {
         return Err(ReadError::Closed);
     }
     let started_at_ms = report::started_at_ms(head.status, &body);
