--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -13,3 +13,4 @@
 mod ended_processes;
 mod linked;
 mod unreached_endpoints;
+mod versions;
