Ask each connection for the endpoint's run before a stream is sent on it

What callers could see (ORDER): a stream begins or goes on at an engine that was started again under its identifier with another version, which the list does not say yet, and its text is joined from two versions.

Cause: a connection was asked for the run of its endpoint only if several versions were listed or the list was not read for 1.5 s. With a list of one version that was read a moment ago, the new run got streams of the old version. A daemon that was suspended could take a list for current that had been sent to it before.

Ruled out: a shorter poll of the list, which leaves a gap; a check of the answer, which does not name its run.

Change: every connection is asked once before a stream of a resumable route is sent on it, however new the list is. 'is_current' and 'has_versions' have no other use and go. Cost: one report a new connection.

Evidence: gateway_endpoints engine_replaced_under_its_id_gets_no_stream_while_one_version_is_listed. Before the fix it failed: the replaced engine had executed 10 of the 24 requests sent after its start, second0, new0, second2, new2, second4 to second7, new10 and second11. After it: passes, and so does the test of a replaced engine among two versions.

Conclusion: a stream runs at the run that is listed. Endpoints that give no report are still taken as listed.

--- a/kingcupspan/src/gateway/endpoints.rs
+++ b/kingcupspan/src/gateway/endpoints.rs
@@ -35,9 +35,6 @@
 /// Longest pause after any failed read.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_200);
 
-/// Time since the last read of the list for which it counts as current.
-const CURRENT_FOR: Duration = Duration::from_millis(1_500);
-
 /// The endpoints listed in the store, as last read.
 pub struct Endpoints {
     directory: Mutex<Directory>,
@@ -80,16 +77,6 @@
         }
     }
 
-    /// Whether the list was read so lately that a change of it is known.
-    pub fn is_current(&self) -> bool {
-        *self.last_read_at.lock() >= self.clock.before(CURRENT_FOR)
-    }
-
-    /// Whether endpoints of several software versions are listed for a service.
-    pub fn has_versions(&self, service: &ServiceName) -> bool {
-        self.directory.lock().has_versions(service)
-    }
-
     /// Returns an endpoint that is listed.
     pub fn by_id(&self, id: &InstanceId) -> Option<Arc<Endpoint>> {
         self.directory.lock().get(id)
--- a/kingcupspan/src/gateway/serve/send.rs
+++ b/kingcupspan/src/gateway/serve/send.rs
@@ -57,7 +57,8 @@
                 body: prompt.as_deref().unwrap_or(&ex.body),
                 deadline: ex.deadline,
                 is_repeatable: ex.can_retry(*possible_runs + 1),
-                needs_listed_run: self.needs_listed_run(ex),
+                // However new the list is, the endpoint may have been started again since.
+                needs_listed_run: ex.stream_version.is_some(),
                 refused_on: &ex.refused_on,
             };
             let copies = self
--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -132,14 +132,6 @@
         Some(likely.map_or_else(|| first.clone(), |e| e.version.clone()))
     }
 
-    /// Whether the version of a stream could be another one than the list says for its endpoint,
-    /// which may have been started again: there are several versions, or the list is old.
-    pub(super) fn needs_listed_run(&self, ex: &Exchange) -> bool {
-        let is_certain =
-            || self.endpoints.is_current() && !self.endpoints.has_versions(&ex.service);
-        ex.stream_version.is_some() && !is_certain()
-    }
-
     /// Chooses an endpoint as [`Gateway::choose_endpoint`] does. If a new stream has been tried at
     /// all endpoints of its version, or they take no requests, it is begun at another one.
     pub(super) async fn choose_endpoint_of_version(
--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -12,5 +12,6 @@
 mod ended_peers;
 mod ended_processes;
 mod linked;
+mod out_of_step;
 mod unreached_endpoints;
 mod versions;
--- a/kingcupspan_core/src/gateway/endpoint.rs
+++ b/kingcupspan_core/src/gateway/endpoint.rs
@@ -205,16 +205,6 @@
         ready
     }
 
-    /// Whether endpoints of several software versions have entries for a service.
-    pub fn has_versions(&self, service: &ServiceName) -> bool {
-        let endpoints = self.entries.values().map(|e| &e.endpoint);
-        let mut versions = endpoints
-            .filter(|e| e.service == *service)
-            .map(|e| &e.version);
-        let first = versions.next();
-        versions.any(|v| Some(v) != first)
-    }
-
     /// Whether an endpoint accepts new requests.
     pub fn is_ready(&self, id: &InstanceId, now: MonoMs) -> bool {
         let entry = self.entries.get(id);
