Continue from memory only streams that this daemon has begun

What callers could see (ORDER): a daemon cut off from the store continued a stream at the version that it remembered for the request, while another daemon had begun a stream of the same request at another version.

Cause: without the store, whatever the daemon had read before was taken for all there is. A record of another daemon may have been replaced since, and streams that are not named are those of any attempt.

Ruled out: homes, which read the store before they answer and have no such fallback (find_stream_as_home).

Change: without the store a stream goes on only if it is named by an attempt that this daemon has begun. An attempt is made once, and its daemon knows all records that it has made of it. The others get 503 with Retry-After.

Evidence: gateway_endpoints without_the_store_only_streams_that_a_daemon_has_begun_itself_go_on.

Conclusion: nothing is joined out of an old memory, at the cost of refusals while the store is away.

--- a/kingcupspan/src/gateway/allocation_homes.rs
+++ b/kingcupspan/src/gateway/allocation_homes.rs
@@ -276,6 +276,18 @@
         Ok(self.partitions.stream_origin(name))
     }
 
+    /// Returns where a stream was begun, if this daemon itself has begun it; what it remembers of
+    /// other streams may be out of date.
+    pub fn find_own_stream(&self, name: &StreamName) -> Knowledge {
+        match name {
+            StreamName::Attempt(attempt) => self
+                .partitions
+                .stream_begun_by(&self.peers.local.incarnation, attempt),
+            // Other daemons may have begun streams of the same request.
+            StreamName::Content(_) => Knowledge::Unknown,
+        }
+    }
+
     /// Returns where a stream was begun; `None` if the store cannot be read.
     pub async fn find_stream_as_home(
         &self,
--- a/kingcupspan/src/gateway/partitions/streams.rs
+++ b/kingcupspan/src/gateway/partitions/streams.rs
@@ -5,7 +5,8 @@
 
 use kingcupspan_core::gateway::{
     allocation::AllocationId,
-    call::ProgramKey,
+    call::{ProgramKey, RequestId},
+    incarnation::Incarnation,
     stream_origin::{Knowledge, StreamName, StreamRecord},
 };
 
@@ -51,4 +52,9 @@
     pub fn stream_origin(&self, name: &StreamName) -> Knowledge {
         self.streams.lock().find(name)
     }
+
+    /// Returns where an attempt has begun a stream through a daemon, by the records read so far.
+    pub fn stream_begun_by(&self, daemon: &Incarnation, attempt: &RequestId) -> Knowledge {
+        self.streams.lock().find_begun_by(daemon, attempt)
+    }
 }
--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -99,8 +99,9 @@
         ex.service == origin.service && ready.iter().any(|e| e.version == origin.version)
     }
 
-    /// Looks up where a stream was begun. What this daemon remembers is not enough while the store
-    /// can be read: another daemon may have begun a stream under the same identifier.
+    /// Looks up where a stream was begun. What this daemon remembers is not enough: another daemon
+    /// may have begun a stream under the same name. Without the store, a stream goes on that is named
+    /// by an attempt of this daemon, since an attempt is made once.
     async fn find_stream(
         &self,
         ex: &Exchange,
@@ -111,7 +112,7 @@
             Ok(knowledge) => return Ok(knowledge),
             Err(e) => e,
         };
-        match self.partitions.stream_origin(name) {
+        match self.allocation_homes.find_own_stream(name) {
             Knowledge::Unknown => {
                 log::warn!(request = &*ex.id.0, error = error.to_string().as_str(); "cannot look up the version of the stream");
                 self.count_continuation("store unavailable");
--- a/kingcupspan/tests/gateway_endpoints/out_of_step.rs
+++ b/kingcupspan/tests/gateway_endpoints/out_of_step.rs
@@ -4,7 +4,12 @@
 use std::sync::Arc;
 
 use async_std::task;
-use kingcupspan_platform_standin::{endpoint::Endpoint, settings};
+use kingcupspan_platform_standin::{
+    caller::Request,
+    endpoint::{Endpoint, EndpointBehavior},
+    settings,
+    store::StoreBehavior,
+};
 
 use crate::{
     fleet::Fleet,
@@ -57,3 +62,72 @@
     let ids: Vec<&str> = executed[before..].iter().map(|r| r.id.as_str()).collect();
     assert!(ids.is_empty(), "{ids:?}");
 }
+
+/// Lets only the engines of a version take requests.
+fn admit_only(versions: &Versions, admitted: &str) {
+    for (engine, version) in &versions.engines {
+        let is_admitted = *version == admitted;
+        let behavior = is_admitted.then_some(BREAKS_OFF);
+        engine.set_behavior(behavior.unwrap_or(EndpointBehavior::Full));
+    }
+}
+
+/// Creates a request that begins a stream of a program without a budget, which needs no store.
+fn begin_unbudgeted(program: &str, id: &str) -> Request {
+    let mut request = versions::begin(program, id);
+    let lines = request.headers.split_inclusive("\r\n");
+    let is_budget = |line: &&str| line.starts_with("Kingcupspan-Token-Budget");
+    request.headers = lines.filter(|l| !is_budget(l)).collect();
+    request
+}
+
+/// Creates another attempt of a request, which continues its stream; `first` names the attempt that
+/// began it.
+fn continue_unbudgeted(begun: &Request, id: &str, first: Option<&str>) -> Request {
+    let mut request = begun.clone();
+    request.id = id.to_owned();
+    request.headers += "Last-Event-Id: 2\r\n";
+    if let Some(first) = first {
+        request.headers += &format!("Resumes: {first}\r\n");
+    }
+    request
+}
+
+// Guards against a daemon that cannot read the store and takes what it remembers for all there is:
+// another daemon has begun a stream of the same request since, or one that it has only read of.
+#[async_std::test]
+async fn without_the_store_only_streams_that_a_daemon_has_begun_itself_go_on() {
+    let versions = Versions::start("gateway-remembered", 2).await;
+    admit_only(&versions, "v1");
+    let own = begin_unbudgeted("p", "own");
+    versions.begin(0, &own).await;
+    let read_of = begin_unbudgeted("q", "read-of");
+    versions.begin(1, &read_of).await;
+    let request = continue_unbudgeted(&read_of, "read", Some("read-of"));
+    let response = versions.fleet.send(0, &request).await;
+    versions.assert_goes_on(&response, "read", "v1");
+    admit_only(&versions, "v2");
+    let mut again = own.clone();
+    again.id = "again".to_owned();
+    versions.begin(1, &again).await;
+    for (engine, _) in &versions.engines {
+        engine.set_behavior(BREAKS_OFF);
+    }
+    let store = &versions.fleet.store;
+    store.set_behavior(StoreBehavior::Unresponsive);
+    task::sleep(LIST_DELAY).await;
+    let refused = [
+        continue_unbudgeted(&own, "unnamed", None),
+        continue_unbudgeted(&read_of, "of-other-daemon", Some("read-of")),
+        continue_unbudgeted(&own, "not-read-of", Some("again")),
+    ];
+    for request in &refused {
+        let response = versions.fleet.send(0, request).await;
+        assert_eq!(response.status, 503, "{}: {response:?}", request.id);
+        assert!(response.retry_after.is_some(), "{response:?}");
+        assert!(versions.executor(&request.id).is_none(), "{}", request.id);
+    }
+    let named = continue_unbudgeted(&own, "named", Some("own"));
+    let response = versions.fleet.send(0, &named).await;
+    versions.assert_goes_on(&response, "named", "v1");
+}
--- a/kingcupspan_core/src/gateway/stream_origin.rs
+++ b/kingcupspan_core/src/gateway/stream_origin.rs
@@ -15,7 +15,7 @@
 
 use super::{
     allocation::AllocationId, call::RequestId, crash_tracker::Fingerprint,
-    endpoint::SoftwareVersion, routing::ServiceName,
+    endpoint::SoftwareVersion, incarnation::Incarnation, routing::ServiceName,
 };
 use crate::id::WallMs;
 
@@ -124,6 +124,16 @@
         }
     }
 
+    /// Returns where an attempt has begun a stream through one daemon, which knows all its own
+    /// records; those of other daemons may have been replaced since they were read.
+    pub fn find_begun_by(&self, daemon: &Incarnation, attempt: &RequestId) -> Knowledge {
+        let mut records = self.records.get(attempt).into_iter().flatten();
+        match records.any(|(id, _)| id.daemon == *daemon) {
+            true => agreement(self.origins(attempt)),
+            false => Knowledge::Unknown,
+        }
+    }
+
     /// Returns where streams were begun whose first event an attempt has brought.
     fn origins(&self, attempt: &RequestId) -> impl Iterator<Item = &Origin> {
         let records = self.records.get(attempt).map_or(&[][..], Vec::as_slice);
--- a/kingcupspan_core/tests/gateway/stream_origin.rs
+++ b/kingcupspan_core/tests/gateway/stream_origin.rs
@@ -92,6 +92,26 @@
     }
 }
 
+// Guards against the use of a record of another daemon that may have been replaced since it was read.
+#[test]
+fn daemon_without_the_store_knows_only_streams_that_it_has_begun() {
+    let own = [record("d", 50, "v1", None), record("d", 40, "v2", Some(50))];
+    let of_other = record("e", 45, "v2", None);
+    let find = |records: &[(AllocationId, StreamRecord)], daemon: &str| {
+        let mut origins = StreamOrigins::default();
+        for (id, record) in records {
+            origins.insert(id.clone(), record.clone(), NOW);
+        }
+        origins.find_begun_by(&daemon.into(), &"a".into())
+    };
+    let known = Knowledge::Known(origin("v2"));
+    assert_eq!(find(&own, "d"), known);
+    assert_eq!(find(&own, "e"), Knowledge::Unknown);
+    assert_eq!(find(&[], "d"), Knowledge::Unknown);
+    let of_both = [own[0].clone(), of_other];
+    assert_eq!(find(&of_both, "d"), Knowledge::Ambiguous);
+}
+
 // Guards against the version of another request, or of one of several streams of a request.
 #[test]
 fn stream_without_a_name_is_known_if_all_of_its_request_agree() {
