Use no connection to a former run of an endpoint for the new one

What callers could see: after an engine was started again under its identifier at another address, streams were refused (503, no endpoint) and other requests ran at the former run while it still held its connections.

Cause: idle connections were kept by the endpoint's identifier alone. A turn took one to the former run; a stream found the other run by its report, and then the new run, rightly listed, counted as replaced and got nothing more.

Ruled out: an engine whose process has died; its connections end and are not taken again.

Change: a connection knows the run that was listed when it was opened, and is taken only for the run that it leads to. If an endpoint turns out to be another run than listed, its idle connections are dropped.

Evidence: gateway_endpoints connections_to_a_former_run_are_not_used_for_the_new_one.

Conclusion: no work is sent to a run that is no longer listed, and a new run is not taken for a replaced one.

--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -136,7 +136,7 @@
         if let Err(e) = tcp::set_options(&stream, Remote::Endpoint) {
             log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
         }
-        Ok(self.new_connection(Conn::new(stream), None))
+        Ok(self.new_connection(endpoint, Conn::new(stream), None))
     }
 
     /// Asks peers for a connection, unless they have lately not got one.
@@ -145,7 +145,7 @@
             return None;
         }
         match self.tunnels.open(endpoint).await {
-            Ok(tunnel) => Some(self.new_connection(tunnel.conn, Some(tunnel.guard))),
+            Ok(tunnel) => Some(self.new_connection(endpoint, tunnel.conn, Some(tunnel.guard))),
             Err(e) => {
                 log::debug!(endpoint = &*endpoint.id.0, error = e.to_string().as_str(); "no connection to the endpoint through a peer");
                 let mut states = self.states.lock();
@@ -166,10 +166,16 @@
     }
 
     /// Numbers a new connection.
-    fn new_connection(&self, conn: Conn, tunnel: Option<TunnelGuard>) -> EndpointConnection {
+    fn new_connection(
+        &self,
+        endpoint: &Endpoint,
+        conn: Conn,
+        tunnel: Option<TunnelGuard>,
+    ) -> EndpointConnection {
         EndpointConnection {
             id: ConnectionId(self.opened_connections.fetch_add(1, Ordering::Relaxed)),
             conn,
+            opened_for_ms: endpoint.started_at_ms,
             run: Run::default(),
             tunnel,
         }
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -29,6 +29,9 @@
     pub(super) id: ConnectionId,
     pub(super) conn: Conn,
 
+    /// Start of the run that was listed when the connection was opened, as Unix time in milliseconds.
+    pub(super) opened_for_ms: u64,
+
     /// Run of the endpoint to which the connection leads.
     pub(super) run: Run,
 
@@ -36,6 +39,17 @@
     pub(super) tunnel: Option<TunnelGuard>,
 }
 
+impl EndpointConnection {
+    /// Whether the connection leads to the listed run of its endpoint, by what is known.
+    fn leads_to(&self, endpoint: &Endpoint) -> bool {
+        let started_at_ms = match self.run {
+            Run::StartedAt(ms) => ms,
+            Run::Unchecked | Run::NotTold => self.opened_for_ms,
+        };
+        started_at_ms == endpoint.started_at_ms
+    }
+}
+
 /// How this daemon opens connections to an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) enum Reach {
@@ -179,6 +193,11 @@
         self.unanswered.clear();
     }
 
+    /// Forgets the idle connections that lead to another run than the listed one.
+    pub(super) fn drop_idle_of_other_runs(&mut self, endpoint: &Endpoint) {
+        self.idle.retain(|i| i.connection.leads_to(endpoint));
+    }
+
     /// Forgets the idle connections that do not lead through peers.
     pub(super) fn drop_direct_idle(&mut self) {
         self.idle.retain(|i| i.connection.tunnel.is_some());
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -33,7 +33,7 @@
     response::{Delivery, EndpointResponse},
 };
 use self::{
-    endpoint_state::{EndpointConnection, EndpointState, Reach, SentRequest},
+    endpoint_state::{EndpointConnection, EndpointState, IdleConnection, Reach, SentRequest},
     health::{Attempt, Health},
 };
 use crate::{
@@ -212,7 +212,7 @@
     ) -> Result<EndpointResponse, SendError> {
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let mut attempt = Attempt::new(&self.health, endpoint, out.timed_as, remaining);
-        let mut connection = match self.take_idle(&endpoint.id, out.refused_on).await {
+        let mut connection = match self.take_idle(endpoint, out.refused_on).await {
             Some(connection) => connection,
             None => self
                 .connect(endpoint)
@@ -221,7 +221,10 @@
         };
         if out.needs_listed_run {
             let checked = run_check::check(&mut connection, endpoint).await;
-            checked.inspect_err(|_| attempt.fail())?;
+            checked.inspect_err(|e| {
+                attempt.fail();
+                self.note_failed_check(endpoint, e);
+            })?;
         }
         let conn = &mut connection.conn;
         let remaining = out.deadline.saturating_duration_since(Instant::now());
@@ -284,20 +287,37 @@
         }
     }
 
-    /// Takes an idle connection that is still usable and not among `refused_on`.
+    /// Takes an idle connection to the listed run of an endpoint that is still usable and not among
+    /// `refused_on`.
     async fn take_idle(
         &self,
-        id: &InstanceId,
+        endpoint: &Endpoint,
         refused_on: &[ConnectionId],
     ) -> Option<EndpointConnection> {
         loop {
-            let idle = self.states.lock().get_mut(id)?.pop_idle(refused_on)?;
+            let idle = self.pop_idle(endpoint, refused_on)?;
             if idle.expires_at > Instant::now() && idle.connection.conn.is_idle().await {
                 return Some(idle.connection);
             }
         }
     }
 
+    /// Takes an idle connection that leads to the listed run of an endpoint.
+    fn pop_idle(&self, endpoint: &Endpoint, except: &[ConnectionId]) -> Option<IdleConnection> {
+        let mut states = self.states.lock();
+        let state = states.get_mut(&endpoint.id)?;
+        state.drop_idle_of_other_runs(endpoint);
+        state.pop_idle(except)
+    }
+
+    /// Drops the idle connections to an endpoint that turned out to be another run than the listed
+    /// one: they were opened for the listed run.
+    fn note_failed_check(&self, endpoint: &Endpoint, e: &SendError) {
+        if matches!(e, SendError::Replaced) {
+            self.drop_idle(&endpoint.id);
+        }
+    }
+
     /// Drops all idle connections to an endpoint after one of its connections failed, since
     /// the others are likely broken as well.
     fn drop_idle(&self, id: &InstanceId) {
--- a/kingcupspan/tests/gateway_endpoints/out_of_step.rs
+++ b/kingcupspan/tests/gateway_endpoints/out_of_step.rs
@@ -1,7 +1,7 @@
 //! Tests that a daemon that is out of step with the others, or has an old list, joins no streams of
 //! different software versions.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use kingcupspan_platform_standin::{
@@ -131,3 +131,36 @@
     let response = versions.fleet.send(0, &named).await;
     versions.assert_goes_on(&response, "named", "v1");
 }
+
+// Guards against a connection to a former run of an engine that is taken for one to the run that is
+// listed now: the new run would get no streams, and other requests would go to the former one.
+#[async_std::test]
+async fn connections_to_a_former_run_are_not_used_for_the_new_one() {
+    let versions = Versions::start_of_one_version("gateway-former-run", 1).await;
+    for id in ["e2", "e3"] {
+        versions.fleet.store.put("keyed.servers", id, None);
+    }
+    task::sleep(LIST_DELAY).await;
+    let (former, _) = &versions.engines[0];
+    former.set_behavior(EndpointBehavior::Stream {
+        events: 2,
+        pause: Duration::from_millis(1),
+    });
+    for id in ["first", "next"] {
+        let response = versions.fleet.send(0, &versions::begin("p", id)).await;
+        assert!(response.is_complete, "{response:?}");
+    }
+    // The former run still holds its connections while the new one is listed at another address.
+    let new = Fleet::start_new_run(&versions.fleet.store, "llm", "e1", BREAKS_OFF, 2, "v2");
+    task::sleep(LIST_DELAY).await;
+    let before = runs(former);
+    let turn = Request::turn("q", "turn", None, 100_000);
+    let mut statuses = Vec::new();
+    for request in [turn, versions::begin("r", "new")] {
+        let response = versions.fleet.send(0, &request).await;
+        statuses.push((request.id, response.status));
+    }
+    let expected = ["turn", "new"].map(|id| (id.to_owned(), 200));
+    assert_eq!((statuses, runs(former)), (expected.to_vec(), before));
+    assert_eq!(runs(&new), 2);
+}
