--- a/kingcupspan/tests/gateway/fleet.rs
+++ b/kingcupspan/tests/gateway/fleet.rs
@@ -185,25 +185,6 @@
         endpoint
     }
 
-    /// Starts another run of a listed endpoint at an address of its own and lists it as ready.
-    pub fn start_new_run(
-        store: &Store,
-        service: &str,
-        id: &str,
-        behavior: EndpointBehavior,
-        born: u64,
-        version: &str,
-    ) -> Arc<Endpoint> {
-        let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 8080);
-        let endpoint = Endpoint::new(id, behavior);
-        endpoint.replace(born);
-        task::spawn(Arc::clone(&endpoint).serve(addr));
-        let mut entry = settings::versioned_entry(service, addr, "ready", version);
-        entry["born"] = born.into();
-        store.put("keyed.servers", id, Some(&entry.to_string()));
-        endpoint
-    }
-
     /// Returns the address that the list in the store gives for a plain endpoint.
     pub fn plain_endpoint_addr(&self, id: &str) -> net::SocketAddr {
         let entry = self.store.newest_value("keyed.servers", id);
--- a/kingcupspan/tests/gateway_endpoints/out_of_step.rs
+++ b/kingcupspan/tests/gateway_endpoints/out_of_step.rs
@@ -1,21 +1,28 @@
 //! Tests that a daemon that is out of step with the others, or has an old list, joins no streams of
 //! different software versions.
 
-use std::{sync::Arc, time::Duration};
+use std::{net, sync::Arc, time::Duration};
 
 use async_std::task;
 use kingcupspan_platform_standin::{
     caller::Request,
     endpoint::{Endpoint, EndpointBehavior},
     settings,
-    store::StoreBehavior,
+    store::{Store, StoreBehavior},
 };
 
 use crate::{
     fleet::Fleet,
+    process,
     versions::{self, BREAKS_OFF, LIST_DELAY, Versions},
 };
 
+/// Time for which a daemon stands still, and in which it is in step again.
+const STANDSTILL: Duration = Duration::from_millis(2_000);
+
+/// Number of streams that are begun and continued.
+const STREAMS: usize = 16;
+
 impl Versions {
     /// Starts a fleet with three engines of one version.
     async fn start_of_one_version(name: &str, daemons: usize) -> Self {
@@ -32,6 +39,18 @@
     }
 }
 
+/// Starts the second run of an engine, at an address of its own, and lists it as ready.
+fn start_new_run(store: &Store, id: &str, version: &str) -> Arc<Endpoint> {
+    let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 8080);
+    let endpoint = Endpoint::new(id, BREAKS_OFF);
+    endpoint.replace(2);
+    task::spawn(Arc::clone(&endpoint).serve(addr));
+    let mut entry = settings::versioned_entry("llm", addr, "ready", version);
+    entry["born"] = 2.into();
+    store.put("keyed.servers", id, Some(&entry.to_string()));
+    endpoint
+}
+
 /// Number of requests that an engine has executed.
 fn runs(engine: &Endpoint) -> usize {
     engine.executed_requests().len()
@@ -151,7 +170,7 @@
         assert!(response.is_complete, "{response:?}");
     }
     // The former run still holds its connections while the new one is listed at another address.
-    let new = Fleet::start_new_run(&versions.fleet.store, "llm", "e1", BREAKS_OFF, 2, "v2");
+    let new = start_new_run(&versions.fleet.store, "e1", "v2");
     task::sleep(LIST_DELAY).await;
     let before = runs(former);
     let turn = Request::turn("q", "turn", None, 100_000);
@@ -164,3 +183,119 @@
     assert_eq!((statuses, runs(former)), (expected.to_vec(), before));
     assert_eq!(runs(&new), 2);
 }
+
+/// Streams that have begun at a daemon and broken off, with the versions of their engines.
+struct Begun(Vec<(String, &'static str)>);
+
+impl Begun {
+    /// Number of streams that go on if all records are known: an unnamed one does if the earlier
+    /// stream of its request was of the same version.
+    fn unambiguous(&self, earlier: &[&str]) -> usize {
+        let versions = self.0.iter().map(|(_, version)| version).zip(earlier);
+        let is_known = |(i, (version, earlier)): &(usize, (&&str, &&str))| {
+            !is_unnamed(*i) || version == earlier
+        };
+        versions.enumerate().filter(is_known).count()
+    }
+}
+
+/// Whether a stream is continued without a name.
+fn is_unnamed(i: usize) -> bool {
+    i.is_multiple_of(2)
+}
+
+impl Versions {
+    /// Begins streams at a daemon whose requests will be sent again, at another daemon; returns the
+    /// versions of their engines.
+    async fn begin_earlier(&self, daemon: usize) -> Vec<&'static str> {
+        let mut earlier = Vec::new();
+        for i in 0..STREAMS {
+            let mut request = begin_unbudgeted(&format!("p{i}"), &format!("first{i}"));
+            request.id = format!("earlier{i}");
+            let (_, version) = self.begin(daemon, &request).await;
+            earlier.push(version);
+        }
+        earlier
+    }
+
+    /// Lets engines of a new version join, one of them in place of an engine, and begins streams at a
+    /// daemon once it has read of them.
+    async fn begin_while_engines_join(&mut self, daemon: usize) -> Begun {
+        let store = &self.fleet.store;
+        let replacing = start_new_run(store, "e1", "v3");
+        let joined = Fleet::start_endpoint_of_version(store, "llm", "e5", BREAKS_OFF, "v3");
+        self.engines[0].0.replace(2);
+        // At its former address runs the new version as well.
+        self.engines[0].1 = "v3";
+        self.engines.extend([(replacing, "v3"), (joined, "v3")]);
+        task::sleep(LIST_DELAY).await;
+        let mut begun = Vec::new();
+        for i in 0..STREAMS {
+            let first = format!("first{i}");
+            let request = begin_unbudgeted(&format!("p{i}"), &first);
+            let (_, version) = self.begin(daemon, &request).await;
+            begun.push((first, version));
+        }
+        assert!(begun.iter().any(|(_, v)| *v == "v3"), "{begun:?}");
+        Begun(begun)
+    }
+
+    /// Continues streams at a daemon: each goes on at its version or is refused; returns how many
+    /// went on.
+    async fn continue_or_refuse(&self, daemon: usize, begun: &Begun, round: &str) -> usize {
+        let mut count = 0;
+        for (i, (first, version)) in begun.0.iter().enumerate() {
+            let of_first = begin_unbudgeted(&format!("p{i}"), first);
+            let name = (!is_unnamed(i)).then_some(first.as_str());
+            let attempt = format!("{round}{i}");
+            let request = continue_unbudgeted(&of_first, &attempt, name);
+            let response = self.fleet.send(daemon, &request).await;
+            if response.status == 503 {
+                assert!(self.executor(&attempt).is_none(), "{attempt}");
+                continue;
+            }
+            self.assert_goes_on(&response, &attempt, version);
+            count += 1;
+        }
+        count
+    }
+}
+
+// Guards against a daemon that stood still while engines of a new version joined, and continues
+// streams by the list and the records that it had before.
+#[async_std::test]
+async fn daemon_that_stood_still_joins_no_streams() {
+    let mut versions = Versions::start("gateway-stood-still", 2).await;
+    let earlier = versions.begin_earlier(0).await;
+    versions.fleet.daemons[0].suspend();
+    let begun = versions.begin_while_engines_join(1).await;
+    task::sleep(STANDSTILL).await;
+    versions.fleet.daemons[0].resume();
+    versions.continue_or_refuse(0, &begun, "at-once").await;
+    task::sleep(STANDSTILL).await;
+    let count = versions.continue_or_refuse(0, &begun, "later").await;
+    assert_eq!(count, begun.unambiguous(&earlier));
+}
+
+// Guards against the same at a daemon that was cut off from the store.
+#[async_std::test]
+async fn daemon_that_was_cut_off_from_the_store_joins_no_streams() {
+    for behavior in [StoreBehavior::Unavailable, StoreBehavior::Unresponsive] {
+        let name = format!("gateway-cut-off-{behavior:?}");
+        let mut versions = Versions::start(&name, 2).await;
+        let store = versions.fleet.restart_with_own_store_server(0).await;
+        let earlier = versions.begin_earlier(0).await;
+        store.set_behavior(behavior);
+        let begun = versions.begin_while_engines_join(1).await;
+        // Peers, which pass calls to the store on, are out of reach as well.
+        versions.fleet.daemons[1].suspend();
+        versions.continue_or_refuse(0, &begun, "alone").await;
+        versions.fleet.daemons[1].resume();
+        versions.continue_or_refuse(0, &begun, "cut-off").await;
+        store.set_behavior(StoreBehavior::Available);
+        versions.continue_or_refuse(0, &begun, "at-once").await;
+        task::sleep(STANDSTILL).await;
+        let count = versions.continue_or_refuse(0, &begun, "later").await;
+        assert_eq!(count, begun.unambiguous(&earlier), "{behavior:?}");
+    }
+}
