--- a/kingcupspan/src/gateway/serve/stream_version.rs
+++ b/kingcupspan/src/gateway/serve/stream_version.rs
@@ -99,8 +99,9 @@
         ex.service == origin.service && ready.iter().any(|e| e.version == origin.version)
     }
 
-    /// Looks up where a stream was begun. What this daemon remembers is not enough while the store
-    /// can be read: another daemon may have begun a stream under the same identifier.
+    /// Looks up where a stream was begun. What this daemon remembers is not enough: another daemon
+    /// may have begun a stream under the same name. Without the store, a stream goes on that is named
+    /// by an attempt of this daemon, since an attempt is made once.
     async fn find_stream(
         &self,
         ex: &Exchange,
@@ -111,7 +112,7 @@
             Ok(knowledge) => return Ok(knowledge),
             Err(e) => e,
         };
-        match self.partitions.stream_origin(name) {
+        match self.allocation_homes.find_own_stream(name) {
             Knowledge::Unknown => {
                 log::warn!(request = &*ex.id.0, error = error.to_string().as_str(); "cannot look up the version of the stream");
                 self.count_continuation("store unavailable");
@@ -132,14 +133,6 @@
         Some(likely.map_or_else(|| first.clone(), |e| e.version.clone()))
     }
 
-    /// Whether the version of a stream could be another one than the list says for its endpoint,
-    /// which may have been started again: there are several versions, or the list is old.
-    pub(super) fn needs_listed_run(&self, ex: &Exchange) -> bool {
-        let is_certain =
-            || self.endpoints.is_current() && !self.endpoints.has_versions(&ex.service);
-        ex.stream_version.is_some() && !is_certain()
-    }
-
     /// Chooses an endpoint as [`Gateway::choose_endpoint`] does. If a new stream has been tried at
     /// all endpoints of its version, or they take no requests, it is begun at another one.
     pub(super) async fn choose_endpoint_of_version(
--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -137,7 +137,7 @@
         if let Err(e) = tcp::set_options(&stream, Remote::Endpoint) {
             log::warn!(error = e.to_string().as_str(); "cannot set socket options; using the connection without them");
         }
-        Ok(new_connection(Conn::new(stream), None))
+        Ok(new_connection(endpoint, Conn::new(stream), None))
     }
 
     /// Asks peers for a connection, unless they have lately not got one.
@@ -146,7 +146,7 @@
             return None;
         }
         match self.tunnels.open(endpoint).await {
-            Ok(tunnel) => Some(new_connection(tunnel.conn, Some(tunnel.guard))),
+            Ok(tunnel) => Some(new_connection(endpoint, tunnel.conn, Some(tunnel.guard))),
             Err(e) => {
                 log::debug!(endpoint = &*endpoint.id.0, error = e.to_string().as_str(); "no connection to the endpoint through a peer");
                 let mut states = self.states.lock();
@@ -347,9 +347,14 @@
 }
 
 /// Returns a connection that has carried no request yet.
-fn new_connection(conn: Conn, tunnel: Option<TunnelGuard>) -> EndpointConnection {
+fn new_connection(
+    endpoint: &Endpoint,
+    conn: Conn,
+    tunnel: Option<TunnelGuard>,
+) -> EndpointConnection {
     EndpointConnection {
         conn,
+        opened_for_ms: endpoint.started_at_ms,
         run: Run::default(),
         carried: Carried::default(),
         tunnel,
--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -27,6 +27,9 @@
 pub(super) struct EndpointConnection {
     pub(super) conn: Conn,
 
+    /// Start of the run that was listed when the connection was opened, as Unix time in milliseconds.
+    pub(super) opened_for_ms: u64,
+
     /// Run of the endpoint to which the connection leads.
     pub(super) run: Run,
 
@@ -50,6 +53,16 @@
     pub(super) fn is_end_marked(&self) -> bool {
         self.tunnel.is_none() || self.conn.is_end_marked()
     }
+
+    /// Whether the connection leads to a run of its endpoint before the listed one, by what is known;
+    /// the list may be late.
+    fn is_of_former_run(&self, endpoint: &Endpoint) -> bool {
+        let started_at_ms = match self.run {
+            Run::StartedAt(ms) => ms,
+            Run::Unchecked | Run::NotTold => self.opened_for_ms,
+        };
+        started_at_ms < endpoint.started_at_ms
+    }
 }
 
 /// How this daemon opens connections to an endpoint.
@@ -245,6 +258,12 @@
         self.unanswered.clear();
     }
 
+    /// Forgets the idle connections that lead to a run before the listed one.
+    pub(super) fn drop_idle_of_former_runs(&mut self, endpoint: &Endpoint) {
+        self.idle
+            .retain(|i| !i.connection.is_of_former_run(endpoint));
+    }
+
     /// Forgets the idle connections that do not lead through peers.
     pub(super) fn drop_direct_idle(&mut self) {
         self.idle.retain(|i| i.connection.tunnel.is_some());
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -31,7 +31,7 @@
 use prometheus::IntCounterVec;
 
 use self::{
-    endpoint_state::{EndpointConnection, EndpointState, Reach, SentRequest},
+    endpoint_state::{EndpointConnection, EndpointState, IdleConnection, Reach, SentRequest},
     health::{Attempt, Health},
 };
 pub use self::{
@@ -214,7 +214,7 @@
     ) -> Result<EndpointResponse, SendError> {
         let remaining = out.deadline.saturating_duration_since(Instant::now());
         let mut attempt = Attempt::new(&self.health, endpoint, out.timed_as, remaining);
-        let mut connection = match self.take_idle(&endpoint.id, out).await {
+        let mut connection = match self.take_idle(endpoint, out).await {
             Some(connection) => connection,
             None => self
                 .connect(endpoint)
@@ -223,7 +223,10 @@
         };
         if out.needs_listed_run {
             let checked = run_check::check(&mut connection, endpoint).await;
-            checked.inspect_err(|_| attempt.fail())?;
+            checked.inspect_err(|e| {
+                attempt.fail();
+                self.note_failed_check(endpoint, e);
+            })?;
         }
         connection.carried.add(out.id);
         if out.needs_own_connection() {
@@ -314,17 +317,33 @@
     /// Takes an idle connection that is still usable and may carry a request.
     async fn take_idle(
         &self,
-        id: &InstanceId,
+        endpoint: &Endpoint,
         out: &OutgoingRequest<'_>,
     ) -> Option<EndpointConnection> {
         loop {
-            let idle = self.states.lock().get_mut(id)?.pop_idle(out)?;
+            let idle = self.pop_idle(endpoint, out)?;
             if idle.expires_at > Instant::now() && idle.connection.conn.is_idle().await {
                 return Some(idle.connection);
             }
         }
     }
 
+    /// Takes an idle connection that does not lead to a former run of an endpoint.
+    fn pop_idle(&self, endpoint: &Endpoint, out: &OutgoingRequest<'_>) -> Option<IdleConnection> {
+        let mut states = self.states.lock();
+        let state = states.get_mut(&endpoint.id)?;
+        state.drop_idle_of_former_runs(endpoint);
+        state.pop_idle(out)
+    }
+
+    /// Drops the idle connections to an endpoint that turned out to be another run than the listed
+    /// one: they were opened for the listed run.
+    fn note_failed_check(&self, endpoint: &Endpoint, e: &SendError) {
+        if matches!(e, SendError::Replaced) {
+            self.drop_idle(&endpoint.id);
+        }
+    }
+
     /// Drops all idle connections to an endpoint after one of its connections failed, since
     /// the others are likely broken as well.
     fn drop_idle(&self, id: &InstanceId) {
--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -13,5 +13,7 @@
 mod ended_processes;
 mod late_responses;
 mod linked;
+mod out_of_step;
 mod tunnel_ends;
 mod unreached_endpoints;
+mod versions;
