Reads of connections hold no buffer for tunnels

Cause: the buffer of the decoder of tunnels lay on the stack of a read, so that the future of each caller's connection had 4 KiB more.

--- a/kingcupspan/src/http/framed.rs
+++ b/kingcupspan/src/http/framed.rs
@@ -20,6 +20,9 @@
 
     /// Number of bytes at the start of `raw` that are decoded and were not returned yet.
     decoded: usize,
+
+    /// Buffer of one read; not on the stack, as the futures of all connections would have room for it.
+    received: Box<[u8]>,
 }
 
 impl Decoder {
@@ -29,6 +32,7 @@
             framing: Framing::chunked(),
             raw: received,
             decoded: 0,
+            received: vec![0; READ_BYTES].into(),
         }
     }
 
@@ -42,7 +46,6 @@
     /// The end of the connection before the last chunk is an error. Nothing is lost if the returned
     /// future is dropped.
     pub async fn read(&mut self, mut stream: &TcpStream, buf: &mut [u8]) -> io::Result<usize> {
-        let mut received = [0; READ_BYTES];
         while self.decoded == 0 {
             if self.decode()? {
                 return Ok(0);
@@ -50,9 +53,9 @@
             if self.decoded > 0 {
                 break;
             }
-            match stream.read(&mut received).await? {
+            match stream.read(&mut self.received).await? {
                 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                n => self.raw.extend_from_slice(&received[..n]),
+                n => self.raw.extend_from_slice(&self.received[..n]),
             }
         }
         let n = self.decoded.min(buf.len());
