Failing test: a former run vouches for the body of the new one

What callers could see: 200 by length with a part of the body, of a request that may not be repeated.

Cause: is_older_answered (upstream/end_check.rs) counts any idle connection that is older than the request, and drops the run that the report tells. Idle connections of former runs are dropped when a request takes one; a request that is still in flight at the former run brings its connection back later. If the new run is then killed, the former one answers for it.

Ruled out: that the new run answered (its listener is closed for 700 ms); that the request ran at the former run (the test checks that the new one has it).

Conclusion: an older connection is evidence only if it leads to the same run. No change of logic here.

--- a/kingcupspan/tests/gateway_endpoints/main.rs
+++ b/kingcupspan/tests/gateway_endpoints/main.rs
@@ -14,6 +14,7 @@
 mod late_responses;
 mod linked;
 mod out_of_step;
+mod reviewed;
 mod tunnel_ends;
 mod unreached_endpoints;
 mod versions;
