Failing test: whole bodies that end together are refused

What callers could see: 502 for whole bodies without a length, of an endpoint that gives no report and takes longer than 0.5 s.

Cause, by reading: the one connection that is kept to check ends is taken out of the list while it is asked, so that other ends at that moment find none; a new connection tells nothing after 0.5 s.

Ruled out: a daemon that has no such connection yet; a short body is served first.

Conclusion: the check of one end must not take the evidence of the others. No change of logic here.

--- a/kingcupspan/tests/gateway_endpoints/reviewed.rs
+++ b/kingcupspan/tests/gateway_endpoints/reviewed.rs
@@ -4,13 +4,19 @@
 
 use async_std::task;
 use kingcupspan_platform_standin::{
-    caller::{self, Request},
+    caller::{self, Request, Response},
     endpoint::{BodyEnd, Endpoint, EndpointBehavior},
     settings,
 };
 
 use crate::{fleet::Fleet, process, versions::LIST_DELAY};
 
+/// Number of requests in flight together.
+const TOGETHER: usize = 6;
+
+/// Time of a response after which an endpoint may have been started again.
+const SLOW: Duration = Duration::from_millis(800);
+
 /// Time of a response that outlasts a change of the list.
 const SLOWEST: Duration = Duration::from_millis(2_500);
 
@@ -25,12 +31,41 @@
     fleet
 }
 
+/// Sends requests that must not be repeated, all at once.
+async fn send_together(fleet: &Fleet) -> Vec<Response> {
+    let addr = fleet.caller_addr(0);
+    let requests = (0..TOGETHER).map(|i| Request::plain("/unsafe/", &format!("together{i}")));
+    let sent = requests.map(|r| task::spawn(async move { caller::send(addr, &r).await }));
+    let mut responses = Vec::new();
+    for response in sent.collect::<Vec<_>>() {
+        responses.push(response.await);
+    }
+    responses
+}
+
 /// A body without a length that ends in this way.
 const fn without_length(end: BodyEnd) -> EndpointBehavior {
     let is_stream = false;
     EndpointBehavior::WithoutLength { is_stream, end }
 }
 
+// Guards against whole bodies that are refused since they end together, and the one connection by
+// which their end is checked serves one of them.
+#[async_std::test]
+async fn slow_bodies_that_end_together_are_whole() {
+    let fleet = start_with_one_endpoint("gateway-reviewed-together").await;
+    let endpoint = &fleet.service_endpoints[0];
+    endpoint.omit_report();
+    endpoint.set_behavior(without_length(BodyEnd::Closed));
+    // From here on the daemon keeps a connection by which ends are checked.
+    let first = fleet.send(0, &Request::plain("/unsafe/", "first")).await;
+    assert_eq!(first.status, 200, "{first:?}");
+    endpoint.set_delay(SLOW);
+    let responses = send_together(&fleet).await;
+    let statuses: Vec<u16> = responses.iter().map(|r| r.status).collect();
+    assert_eq!(statuses, [200; TOGETHER]);
+}
+
 /// Starts the second run of the first endpoint at an address of its own, and lists it.
 fn start_new_run(fleet: &Fleet) -> Arc<Endpoint> {
     let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 8080);
