Failing test: a late second report is passed on as an answer

What callers could see: 404 for a proper turn, where the endpoint has no report and says so twice, the second time late. A second report of 200 has no signature; by reading, it costs the answer (502).

Cause: a connection that was asked for a report counts as one that has carried nothing (Carried), so that an answer without an id on it passes. run_check::check doesn't look for unread bytes behind the report either. Since each new connection is asked before a stream is sent, this is on the way of every stream; connections of the check of ends are kept for others.

No change of logic here.

--- a/kingcupspan/tests/gateway_endpoints/reviewed.rs
+++ b/kingcupspan/tests/gateway_endpoints/reviewed.rs
@@ -2,14 +2,27 @@
 
 use std::{net, sync::Arc, time::Duration};
 
-use async_std::task;
+use async_std::{
+    net::{TcpListener, TcpStream},
+    task,
+};
+use futures_lite::StreamExt;
+use kingcupspan::http::conn::Conn;
+use kingcupspan_platform::headers::HeaderLookup;
 use kingcupspan_platform_standin::{
     caller::{self, Request, Response},
     endpoint::{BodyEnd, Endpoint, EndpointBehavior},
     settings,
 };
 
-use crate::{fleet::Fleet, process, versions::LIST_DELAY};
+use crate::{
+    fleet::Fleet,
+    process,
+    versions::{self, LIST_DELAY},
+};
+
+/// Maximum size of a request's head or body.
+const REQUEST_MAX_BYTES: usize = 64 * 1024;
 
 /// Number of requests in flight together.
 const TOGETHER: usize = 6;
@@ -23,6 +36,91 @@
 /// Time after which a response has reached the daemon as far as its endpoint has sent it.
 const ARRIVAL_TIME: Duration = Duration::from_millis(300);
 
+/// Report of an endpoint that has none.
+const NO_REPORT: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
+/// How an endpoint gives its report and ends its responses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Manner {
+    /// It has no report, and says so once more before its next response.
+    RepeatsReport,
+}
+
+/// Responds to requests on a connection.
+async fn serve_connection(stream: TcpStream, manner: Manner) {
+    let mut conn = Conn::new(stream);
+    let mut owed = "";
+    while let Ok(head) = conn.request_head(REQUEST_MAX_BYTES).await {
+        let mut framing = head.framing.clone();
+        if conn.body(&mut framing, REQUEST_MAX_BYTES).await.is_err() {
+            return;
+        }
+        let id = head.headers.get("kingcupspan-request-id");
+        let text = match (id, manner) {
+            (None, Manner::RepeatsReport) => {
+                owed = NO_REPORT;
+                NO_REPORT.to_owned()
+            }
+            (Some(id), _) => std::mem::take(&mut owed).to_owned() + &response(id, manner),
+        };
+        if conn.write(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Response to a request, a stream of one event.
+fn response(id: &str, manner: Manner) -> String {
+    let event = format!("id: 1\ndata: {id}.1\n\n");
+    let framing = match manner {
+        Manner::RepeatsReport => {
+            format!("Content-Length: {}\r\n", event.len())
+        }
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\nKingcupspan-Request-Id: {id}\r\nKingcupspan-Server-Signature: s\r\n\
+         Content-Type: text/event-stream\r\n{framing}\r\n{event}"
+    )
+}
+
+/// Starts a daemon whose endpoints are one engine and one endpoint of the service, both of a manner.
+async fn start_with(name: &str, manner: Manner) -> Fleet {
+    let configuration = settings::with_resumable_route(settings::configuration(1, 4_000));
+    let fleet = Fleet::start_with_configuration(name, 1, &configuration).await;
+    fleet.store.put("keyed.servers", "p2", None);
+    for (id, service) in [("e1", "llm"), ("p1", "plain")] {
+        let addr = net::SocketAddr::new(process::unique_loopback_address().into(), 8080);
+        let listener = TcpListener::bind(addr).await.expect("the address is free");
+        task::spawn(async move {
+            while let Some(Ok(stream)) = listener.incoming().next().await {
+                task::spawn(serve_connection(stream, manner));
+            }
+        });
+        let entry = settings::entry(service, addr, "ready").to_string();
+        fleet.store.put("keyed.servers", id, Some(&entry));
+    }
+    task::sleep(LIST_DELAY).await;
+    for endpoint in fleet.service_endpoints.iter().chain([&fleet.engine]) {
+        endpoint.drop_connections();
+    }
+    fleet
+}
+
+// Guards against a late second report that is passed on as the answer to a request.
+#[async_std::test]
+async fn late_report_is_not_passed_on() {
+    let fleet = start_with("gateway-reviewed-report", Manner::RepeatsReport).await;
+    for i in 0..4 {
+        let request = versions::begin(&format!("p{i}"), &format!("late{i}"));
+        let response = fleet.send(0, &request).await;
+        let is_own = response.body.contains(&format!("late{i}.1"));
+        assert!(
+            matches!(response.status, 502 | 503) || is_own,
+            "{response:?}"
+        );
+    }
+}
+
 /// Starts a daemon of which only the first endpoint of the service is listed.
 async fn start_with_one_endpoint(name: &str) -> Fleet {
     let fleet = Fleet::start(name, 1, 9_000).await;
