Failing test: an endpoint whose report takes 300 ms gets no streams

What callers could see: 503 for each stream of a resumable route that needs a new connection, where a report takes longer than 250 ms, as over a slow link or at a machine that is crowded.

Cause: REPORT_TIMEOUT is 250 ms whatever time the caller has, and since each new connection is asked, not only where versions differ.

Ruled out: 'Connection: close' in the report, which this endpoint does not send.

No change of logic here.

--- a/kingcupspan/tests/gateway_endpoints/reviewed.rs
+++ b/kingcupspan/tests/gateway_endpoints/reviewed.rs
@@ -39,6 +39,12 @@
 /// Report of an endpoint that has none.
 const NO_REPORT: &str = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
 
+/// Time of a late report, after which a caller still waits.
+const LATE_REPORT_TIME: Duration = Duration::from_millis(300);
+
+/// Report of an endpoint.
+const REPORT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}";
+
 /// Report of an endpoint that closes connections, as one does that leaves.
 const CLOSING_REPORT: &str =
     "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\n{\"born\":1}";
@@ -51,6 +57,9 @@
 
     /// It closes the connection behind each response, which has no length, and each report.
     Closes,
+
+    /// It takes its time for the report.
+    ReportsLate,
 }
 
 /// Responds to requests on a connection.
@@ -69,6 +78,10 @@
                 NO_REPORT.to_owned()
             }
             (None, Manner::Closes) => CLOSING_REPORT.to_owned(),
+            (None, Manner::ReportsLate) => {
+                task::sleep(LATE_REPORT_TIME).await;
+                REPORT.to_owned()
+            }
             (Some(id), _) => std::mem::take(&mut owed).to_owned() + &response(id, manner),
         };
         if conn.write(text.as_bytes()).await.is_err() || manner == Manner::Closes {
@@ -81,7 +94,7 @@
 fn response(id: &str, manner: Manner) -> String {
     let event = format!("id: 1\ndata: {id}.1\n\n");
     let framing = match manner {
-        Manner::RepeatsReport => {
+        Manner::RepeatsReport | Manner::ReportsLate => {
             format!("Content-Length: {}\r\n", event.len())
         }
         Manner::Closes => "Connection: close\r\n".to_owned(),
@@ -148,6 +161,14 @@
     assert_eq!(response.status, 200, "{response:?}");
 }
 
+// Guards against streams that are never sent to an endpoint whose report takes long.
+#[async_std::test]
+async fn endpoint_that_reports_late_gets_streams() {
+    let fleet = start_with("gateway-reviewed-late", Manner::ReportsLate).await;
+    let response = fleet.send(0, &versions::begin("p", "stream")).await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
 /// Starts a daemon of which only the first endpoint of the service is listed.
 async fn start_with_one_endpoint(name: &str) -> Fleet {
     let fleet = Fleet::start(name, 1, 9_000).await;
