Failing test: a turn that was answered without a body cannot be continued

What callers could see: 404 'no such turn' for a turn that names one which was answered 204 just before, signed and whole.

Cause: since a response without a body takes the buffered path, which stores no turn; before, an empty one was stored.

Ruled out: that the first turn was not answered by the engine (the test checks its 204).

No change of logic here.

--- a/kingcupspan/tests/gateway_endpoints/reviewed.rs
+++ b/kingcupspan/tests/gateway_endpoints/reviewed.rs
@@ -1,4 +1,4 @@
-//! Tests of whether a report tells what is concluded from it.
+//! Tests of what is concluded from reports and from the ends of responses.
 
 use std::{net, sync::Arc, time::Duration};
 
@@ -247,3 +247,20 @@
     let response = cut.await;
     assert_eq!(response.status, 502, "{response:?}");
 }
+
+// Guards against a turn that was answered whole, without a body, and cannot be continued.
+#[async_std::test]
+async fn turn_that_was_answered_without_a_body_is_continued() {
+    let fleet = Fleet::start("gateway-reviewed-bodiless", 1, 4_000).await;
+    let engine = &fleet.engine;
+    engine.set_behavior(EndpointBehavior::OddStatus(204));
+    let first = Request::turn("p", "first", None, 1_000);
+    assert_eq!(fleet.send(0, &first).await.status, 204);
+    engine.set_behavior(EndpointBehavior::Stream {
+        events: 2,
+        pause: Duration::ZERO,
+    });
+    let next = Request::turn("p", "next", Some("first"), 1_000);
+    let response = fleet.send(0, &next).await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
