A turn that is answered without a body can be continued

Callers got 404 for the turn behind one that was answered 204. Cause: since such an answer takes the path of buffered responses, which keeps no turn; kept an empty one. It is kept again.

--- a/kingcupspan/src/gateway/relay.rs
+++ b/kingcupspan/src/gateway/relay.rs
@@ -188,11 +188,15 @@
     mut response: EndpointResponse,
 ) -> Result<RelayedResponse, Error> {
     let is_success = (200..300).contains(&response.head.status);
+    let should_store = ex.should_store_turn();
     if !is_success || is_bodiless(ex, &response.head) {
-        return buffered(ex, caller, response).await;
+        let mut relayed = buffered(ex, caller, response).await?;
+        if is_success && should_store {
+            relayed.turn = completed_turn(ex, Scanner::new(true));
+        }
+        return Ok(relayed);
     }
     let tokens_per_event = ex.configuration.tokens_per_event(&ex.service);
-    let should_store = ex.should_store_turn();
     let mut scanner = Scanner::new(should_store);
     let mut head = Some(encode_head(&response.head, ex, BodyFraming::Chunked));
     let kept = caller.kept();
