--- a/kingcupspan/src/gateway/upstream/connect.rs
+++ b/kingcupspan/src/gateway/upstream/connect.rs
@@ -16,7 +16,7 @@
     DEFAULT_IDLE_TIMEOUT, SendError, Upstream,
     carried::Carried,
     endpoint_state::{EndpointConnection, Reach, SentRequest},
-    run_check::Run,
+    run_check::{self, Run},
 };
 use crate::{
     edge::tcp::{self, Remote},
@@ -81,6 +81,25 @@
         })
     }
 
+    /// Checks that a connection leads to the run of the endpoint that is listed; returns it, or another
+    /// one that does.
+    pub(super) async fn check_run(
+        self: &Arc<Self>,
+        mut connection: EndpointConnection,
+        endpoint: &Endpoint,
+    ) -> Result<EndpointConnection, SendError> {
+        run_check::check(&mut connection, endpoint).await?;
+        if connection.carried.may_continue() {
+            return Ok(connection);
+        }
+        // The endpoint has closed it: one that is opened between two to the listed run leads to it.
+        let mut between = self.connect(endpoint).await?;
+        let mut after = self.connect(endpoint).await?;
+        run_check::check(&mut after, endpoint).await?;
+        between.run = after.run;
+        Ok(between)
+    }
+
     /// Remembers an endpoint that is connected to.
     fn note_endpoint(&self, endpoint: &Endpoint) {
         let mut states = self.states.lock();
--- a/kingcupspan/src/gateway/upstream/mod.rs
+++ b/kingcupspan/src/gateway/upstream/mod.rs
@@ -33,6 +33,7 @@
 use self::{
     endpoint_state::{EndpointConnection, EndpointState, IdleConnection, Reach, SentRequest},
     health::{Attempt, Health},
+    run_check::Run,
 };
 pub use self::{
     request::OutgoingRequest,
@@ -222,8 +223,8 @@
                 .inspect_err(|_| attempt.fail())?,
         };
         if out.needs_listed_run {
-            let checked = run_check::check(&mut connection, endpoint).await;
-            checked.inspect_err(|e| {
+            let checked = self.check_run(connection, endpoint).await;
+            connection = checked.inspect_err(|e| {
                 attempt.fail();
                 self.note_failed_check(endpoint, e);
             })?;
@@ -266,7 +267,9 @@
         }
         let info = headers::response_info(&head.headers, head.status);
         if info.id.is_none() {
-            if connection.carried.is_shared() {
+            let is_success = (200..300).contains(&head.status);
+            let may_be_report = connection.run != Run::Unchecked && !is_success;
+            if connection.carried.is_shared() || may_be_report {
                 // An endpoint that has begun to omit ids does so on its other connections as well.
                 self.drop_idle(&endpoint.id);
                 attempt.fail();
--- a/kingcupspan/src/gateway/upstream/run_check.rs
+++ b/kingcupspan/src/gateway/upstream/run_check.rs
@@ -14,7 +14,7 @@
 use crate::http::{conn::Conn, conn::ReadError};
 
 /// Timeout of a report, which waits for no other work of the endpoint.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(750);
 
 /// Maximum size of a report, in bytes.
 const REPORT_MAX_BYTES: usize = 256 * 1024;
@@ -49,7 +49,7 @@
 }
 
 /// Asks the endpoint for its report, which shows that it is alive, and returns the run to which the
-/// connection leads.
+/// connection leads. The endpoint may close the connection behind the report.
 pub(super) async fn ask(
     connection: &mut EndpointConnection,
     endpoint: &Endpoint,
@@ -57,20 +57,35 @@
     let report = read_report(&mut connection.conn, endpoint);
     let report = future::timeout(REPORT_TIMEOUT, report).await;
     let timed_out = |_| Err(io::Error::from(io::ErrorKind::TimedOut).into());
-    connection.run = report.unwrap_or_else(timed_out)?;
+    let report = report.unwrap_or_else(timed_out)?;
+    connection.run = report.run;
+    if report.is_last {
+        connection.carried.set_last();
+    }
     Ok(connection.run)
 }
 
+/// A report of an endpoint.
+struct Report {
+    run: Run,
+
+    /// Whether the endpoint closes the connection.
+    is_last: bool,
+}
+
 /// Reads the report of the endpoint.
-async fn read_report(conn: &mut Conn, endpoint: &Endpoint) -> Result<Run, ReadError> {
+async fn read_report(conn: &mut Conn, endpoint: &Endpoint) -> Result<Report, ReadError> {
     conn.write(&report::request(endpoint.addr)).await?;
     let mut head = conn.response_head("GET").await?;
     let body = conn.body(&mut head.framing, REPORT_MAX_BYTES).await?;
     let info = headers::response_info(&head.headers, head.status);
     // A late answer to a request is no report.
-    if !head.is_keep_alive || info.id.is_some() {
+    if info.id.is_some() || !conn.unread().is_empty() {
         return Err(ReadError::Closed);
     }
     let started_at_ms = report::started_at_ms(head.status, &body);
-    Ok(started_at_ms.map_or(Run::NotTold, Run::StartedAt))
+    Ok(Report {
+        run: started_at_ms.map_or(Run::NotTold, Run::StartedAt),
+        is_last: !head.is_keep_alive,
+    })
 }
