Ends of bodies: only the run that has sent a body is evidence for it

Now the run that has sent the body must answer.

The first body of a run that is listed late is doubtful if it came on the oldest connection; the test of such runs sends a repeatable request first, and says so.

--- a/kingcupspan/src/gateway/upstream/endpoint_state.rs
+++ b/kingcupspan/src/gateway/upstream/endpoint_state.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use async_std::sync::Mutex;
 use event_listener::Event;
 use kingcupspan_core::gateway::{
     call::RequestId, crash_tracker::Fingerprint, endpoint::Endpoint, expected_finish::Observation,
@@ -127,6 +128,9 @@
     /// When the endpoint last sent a body without a length.
     pub(super) sent_until_close_at: Option<Instant>,
 
+    /// Held while an end is checked by a connection of which there may be one.
+    pub(super) end_check: Arc<Mutex<()>>,
+
     /// Rate limit that the endpoint named in its last response.
     pub(super) limit: Option<RequestRate>,
 
@@ -212,16 +216,13 @@
         });
     }
 
-    /// Takes an idle connection by the same path that was opened before `before`.
-    pub(super) fn take_older(
+    /// Takes the idle connection that was used last among those that meet a condition.
+    pub(super) fn take_where(
         &mut self,
-        peer: Option<&str>,
-        before: Instant,
-    ) -> Option<IdleConnection> {
-        let is_older =
-            |i: &IdleConnection| i.connection.opened_at < before && i.connection.peer() == peer;
-        let position = self.idle.iter().rposition(is_older)?;
-        Some(self.idle.remove(position))
+        condition: impl Fn(&EndpointConnection) -> bool,
+    ) -> Option<EndpointConnection> {
+        let position = self.idle.iter().rposition(|i| condition(&i.connection))?;
+        Some(self.idle.remove(position).connection)
     }
 
     /// Takes the idle connection that was used last, among those that may carry a request; if there
--- a/kingcupspan/tests/gateway_endpoints/ended_processes.rs
+++ b/kingcupspan/tests/gateway_endpoints/ended_processes.rs
@@ -119,6 +119,9 @@
     fleet.service_endpoints[0].replace(2);
     fill_idle_connections(&fleet).await;
     send_without_length(&fleet, BodyEnd::Closed);
+    // The oldest connection, if this request is sent on it, may lead to the listed run.
+    let first = fleet.send(0, &Request::plain("/safe/", "first")).await;
+    assert_eq!(first.body, "done first\n", "{first:?}");
     for i in 0..6 {
         assert_is_whole(&fleet, &format!("unlisted{i}")).await;
     }
