--- a/kingcupspan/src/gateway/upstream/run_check.rs
+++ b/kingcupspan/src/gateway/upstream/run_check.rs
@@ -13,8 +13,9 @@
 use super::{SendError, endpoint_state::EndpointConnection};
 use crate::http::{conn::Conn, conn::ReadError};
 
-/// Timeout of a report, which waits for no other work of the endpoint.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(750);
+/// Timeout of a report, which waits for no other work of the endpoint. Three endpoints are tried within
+/// the time in which a stream has to be sent.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Maximum size of a report, in bytes.
 const REPORT_MAX_BYTES: usize = 256 * 1024;
